--- /dev/null
+++ b/bundle/snapshot.go
@@ -0,0 +1,169 @@
+// Package bundle checks, approves, rolls and holds configuration bundles.
+package bundle
+
+import (
+	"crypto/sha256"
+	"strings"
+	"time"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+	"pumiceshelf/instance"
+)
+
+// KeyHash is the SHA-256 of a customer's bearer token.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash under which a bearer token is kept in the bundle.
+func HashKey(token string) KeyHash { return sha256.Sum256([]byte(token)) }
+
+// Customer in force.
+type Customer struct {
+	ID     string
+	Weight uint32
+	// Budgets in the order of the bundle.
+	Budgets []Budget
+}
+
+// Budget in force.
+type Budget struct {
+	ID budget.ID
+	// Granted is the sum of the grants.
+	Granted budget.Tokens
+	// Models that draw on it; all when empty.
+	Models []string
+}
+
+// Model in force.
+type Model struct {
+	ID            string
+	DefaultCap    uint64
+	MaxCap        uint64
+	ImageBound    uint64
+	TemplateBound uint64
+	Version       string
+	Adapters      []string
+	NonIdempotent bool
+}
+
+// Service in force.
+type Service struct {
+	ID            string
+	PathPrefix    string
+	NonIdempotent map[string]bool
+	Timeout       time.Duration
+}
+
+// Endpoint in force.
+type Endpoint struct {
+	ID            string
+	Domain        instance.Domain
+	URL           string
+	Models        []string
+	Service       string
+	ChecksFencing bool
+	Concurrency   uint32
+	Role          string
+}
+
+// Snapshot is a bundle in force, compiled for requests. It never changes after Compile.
+type Snapshot struct {
+	Number          uint64
+	Operators       []*api.OperatorKey
+	Threshold       uint32
+	ConcurrentLoads uint32
+	customers       map[string]*Customer
+	keys            map[KeyHash]*Customer
+	models          map[string]*Model
+	services        []*Service
+	endpoints       map[string]*Endpoint
+	groups          map[string][]*Endpoint
+	retired         map[instance.Incarnation]bool
+}
+
+// Source gives the snapshot in force. Implementations are safe for concurrent use.
+type Source interface {
+	// Current returns the snapshot in force, or nil before the first.
+	Current() *Snapshot
+	// Changed returns a channel that is closed when a snapshot newer than Current goes in force.
+	Changed() <-chan struct{}
+}
+
+// Customer returns the customer with the id, or nil.
+func (s *Snapshot) Customer(id string) *Customer { return s.customers[id] }
+
+// Customers calls f for each customer, in no order.
+func (s *Snapshot) Customers(f func(*Customer)) {
+	for _, c := range s.customers {
+		f(c)
+	}
+}
+
+// CustomerByKey returns the customer that a bearer token names, or nil.
+func (s *Snapshot) CustomerByKey(h KeyHash) *Customer { return s.keys[h] }
+
+// Model returns the model with the id, or nil.
+func (s *Snapshot) Model(id string) *Model { return s.models[id] }
+
+// Models calls f for each model, in no order.
+func (s *Snapshot) Models(f func(*Model)) {
+	for _, m := range s.models {
+		f(m)
+	}
+}
+
+// ServiceFor returns the service with the longest prefix of the path, or nil.
+func (s *Snapshot) ServiceFor(path string) *Service {
+	var best *Service
+	for _, v := range s.services {
+		if strings.HasPrefix(path, v.PathPrefix) && (best == nil || len(v.PathPrefix) > len(best.PathPrefix)) {
+			best = v
+		}
+	}
+	return best
+}
+
+// Endpoint returns the endpoint with the id, or nil.
+func (s *Snapshot) Endpoint(id string) *Endpoint { return s.endpoints[id] }
+
+// Endpoints calls f for each endpoint, in no order.
+func (s *Snapshot) Endpoints(f func(*Endpoint)) {
+	for _, e := range s.endpoints {
+		f(e)
+	}
+}
+
+// Group returns the endpoints that serve a model or service, named by ModelGroup or ServiceGroup.
+func (s *Snapshot) Group(group string) []*Endpoint { return s.groups[group] }
+
+// Retired says whether operators declared an incarnation gone for good.
+func (s *Snapshot) Retired(i instance.Incarnation) bool { return s.retired[i] }
+
+// ModelGroup names the endpoints of a model.
+func ModelGroup(model string) string { return "model/" + model }
+
+// ServiceGroup names the endpoints of a plain service.
+func ServiceGroup(service string) string { return "service/" + service }
+
+// BudgetFor returns the first budget of the customer that the model may draw on.
+func (c *Customer) BudgetFor(model string) (Budget, bool) {
+	for _, b := range c.Budgets {
+		if b.Allows(model) {
+			return b, true
+		}
+	}
+	return Budget{}, false
+}
+
+// Allows says whether a model draws on the budget.
+func (b Budget) Allows(model string) bool {
+	if len(b.Models) == 0 {
+		return true
+	}
+	for _, m := range b.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/pumicebench/main.go
@@ -0,0 +1,4 @@
+// Command pumicebench runs experiments.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/pumicectl/main.go
@@ -0,0 +1,4 @@
+// Command pumicectl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/pumiceshelf/main.go
@@ -0,0 +1,4 @@
+// Command pumiceshelf is the router.
+package main
+
+func main() {}
--- /dev/null
+++ b/idempotency/gate.go
@@ -0,0 +1,82 @@
+// Package idempotency drives package claim: it decides for each keyed request whether it runs, joins a running one,
+// or gets a recorded outcome, and keeps claims in the platform.
+package idempotency
+
+import (
+	"context"
+	"time"
+
+	"pumiceshelf/claim"
+)
+
+// Decision on a keyed request.
+type Decision int
+
+// Decisions on a keyed request. Only Run lets the request be dispatched.
+const (
+	// Run means that the caller of Begin now owns the key and must call Finish.
+	Run Decision = iota + 1
+	// Recorded means that an outcome is on file; it is in Verdict.Outcome.
+	Recorded
+	// Mismatch means that the key was used with another body.
+	Mismatch
+	// UnknownOutcome means that a request with this key may have run; it is never run again.
+	UnknownOutcome
+	// Unavailable means that the claim could not be made durable; nothing ran under this call.
+	Unavailable
+)
+
+// Request asks for a decision.
+type Request struct {
+	Key       claim.KeyHash
+	Body      claim.BodyHash
+	RequestID string
+	// Idempotent requests may be repeated; they need no durable claim.
+	Idempotent bool
+	// FirstAttempt is the caller's statement that it has not sent this key before.
+	FirstAttempt bool
+	// Wait is the longest time the caller can wait for a decision or for a request that it joins.
+	Wait time.Duration
+}
+
+// OutcomeKind is how a keyed request ended.
+type OutcomeKind int
+
+// Ends of a keyed request.
+const (
+	// Answered means that a whole answer was obtained.
+	Answered OutcomeKind = iota + 1
+	// NotRun means that nothing was dispatched, now or later; the key may be used again.
+	NotRun
+	// Unknown means that it may have run.
+	Unknown
+)
+
+// Outcome is the recorded end of a keyed request.
+type Outcome struct {
+	Kind OutcomeKind
+	// Status, ContentType and Body are the caller's answer, for Answered.
+	Status      int
+	ContentType string
+	Body        []byte
+	// Dropped says that the body was over the limit and not kept.
+	Dropped bool
+}
+
+// Verdict is the answer to a Request.
+type Verdict struct {
+	Decision   Decision
+	Outcome    Outcome
+	RetryAfter time.Duration
+	// OriginalID is the request id that the key was first used with, for Recorded, Mismatch and UnknownOutcome.
+	OriginalID string
+}
+
+// Gate decides keyed requests. Implementations are safe for concurrent use.
+type Gate interface {
+	// Begin decides a request. For a non-idempotent one, Run is returned only after the claim is durable.
+	Begin(ctx context.Context, r Request) Verdict
+	// Finish records the outcome of a request that Begin let run. It returns when the outcome is durable, or, when
+	// ctx ends first, keeps it and goes on trying in the background. Answered is kept before the caller's last byte.
+	Finish(ctx context.Context, key claim.KeyHash, o Outcome)
+}
