--- /dev/null
+++ b/internal/standin/objects_http.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"pumiceshelf/platform"
+)
+
+// callerHeader names the caller of the object API, so that faults can tell callers apart.
+const callerHeader = "User-Agent"
+
+// Handler serves the object API over HTTP.
+func (o *Objects) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{key...}", o.serveGet)
+	mux.HandleFunc("PUT /v1/objects/{key...}", o.servePut)
+	mux.HandleFunc("DELETE /v1/objects/{key...}", o.serveDelete)
+	mux.HandleFunc("GET /v1/objects", o.serveList)
+	mux.HandleFunc("GET /v1/instances", o.serveInstances)
+	return mux
+}
+
+func (o *Objects) link(r *http.Request) *Link { return o.Link(r.Header.Get(callerHeader)) }
+
+func (o *Objects) serveGet(w http.ResponseWriter, r *http.Request) {
+	var obj platform.Object
+	var err error
+	if r.URL.Query().Get("watch") == "" {
+		obj, err = o.link(r).Get(r.Context(), r.PathValue("key"))
+	} else {
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		obj, err = o.link(r).Watch(r.Context(), r.PathValue("key"), platform.Version(after))
+	}
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	setVersion(w, obj.Version)
+	w.Write(obj.Value)
+}
+
+func (o *Objects) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.ValueLimit))
+	if err != nil {
+		writeFailure(w, platform.ErrTooLarge)
+		return
+	}
+	version, err := o.link(r).Put(r.Context(), r.PathValue("key"), value, expectedVersion(r))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	setVersion(w, version)
+}
+
+func (o *Objects) serveDelete(w http.ResponseWriter, r *http.Request) {
+	if err := o.link(r).Delete(r.Context(), r.PathValue("key"), expectedVersion(r)); err != nil {
+		writeFailure(w, err)
+	}
+}
+
+// listedObject is one object in the answer to a list.
+type listedObject struct {
+	Key     string           `json:"key"`
+	Version platform.Version `json:"version"`
+	Value   []byte           `json:"value"`
+}
+
+func (o *Objects) serveList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	objects, err := o.link(r).List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	listed := make([]listedObject, 0, len(objects))
+	for _, obj := range objects {
+		listed = append(listed, listedObject(obj))
+	}
+	json.NewEncoder(w).Encode(map[string][]listedObject{"objects": listed})
+}
+
+func (o *Objects) serveInstances(w http.ResponseWriter, r *http.Request) {
+	list, err := o.link(r).Instances(r.Context())
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	body, err := protojson.Marshal(list)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.Write(body)
+}
+
+func setVersion(w http.ResponseWriter, v platform.Version) {
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
+}
+
+func expectedVersion(r *http.Request) platform.Version {
+	v, _ := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	return platform.Version(v)
+}
+
+// writeFailure answers with the status of an error. A lost answer closes the connection without one.
+func writeFailure(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, platform.ErrUnchanged):
+		w.WriteHeader(http.StatusNotModified)
+	case errors.Is(err, platform.ErrAmbiguous):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusTooManyRequests)
+	}
+}
