--- /dev/null
+++ b/internal/standin/engine_prompt.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Lengths of answers that meet no cap.
+const (
+	shortestAnswer = 16
+	answerSpread   = 32
+)
+
+type chatRequest struct {
+	Model         string `json:"model"`
+	Stream        bool   `json:"stream"`
+	MaxTokens     int    `json:"max_tokens"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+type contentPart struct {
+	Text     string `json:"text"`
+	ImageURL struct {
+		URL string `json:"url"`
+	} `json:"image_url"`
+}
+
+// ParsePrompt returns the model and the prompt of a request's body as Run logs them, and its prompt tokens.
+func ParsePrompt(body []byte) (model, prompt string, tokens int, err error) {
+	var r chatRequest
+	if err := json.Unmarshal(body, &r); err != nil {
+		return "", "", 0, err
+	}
+	prompt, tokens = r.prompt()
+	return r.Model, prompt, tokens, nil
+}
+
+func (r *chatRequest) prompt() (string, int) {
+	var b strings.Builder
+	tokens := 0
+	for _, m := range r.Messages {
+		var text string
+		var parts []contentPart
+		if json.Unmarshal(m.Content, &text) == nil {
+			parts = []contentPart{{Text: text}}
+		} else {
+			_ = json.Unmarshal(m.Content, &parts)
+		}
+		b.WriteString(m.Role + ":")
+		for _, p := range parts {
+			b.WriteString(p.Text)
+			b.WriteString(p.ImageURL.URL)
+			tokens += (len(p.Text) + 3) / 4
+			if p.ImageURL.URL != "" {
+				tokens += defaultImageTokens
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String(), tokens
+}
+
+// Answer returns the first tokens of the answer that every engine gives to a prompt. Each token is one word and a space.
+func Answer(model, prompt string, tokens int) string {
+	return text(answerSeed(model, prompt), tokens)
+}
+
+// AnswerLength returns how many tokens the answer to a prompt has when no cap is met.
+func AnswerLength(model, prompt string) int {
+	return shortestAnswer + int(answerSeed(model, prompt)%answerSpread)
+}
+
+func answerSeed(model, prompt string) uint64 { return xxhash.Sum64String(model + "\x00" + prompt) }
+
+func token(seed uint64, i int) string {
+	h := xxhash.Sum64String(strconv.FormatUint(seed, 36) + ":" + strconv.Itoa(i))
+	return strconv.FormatUint(h%(36*36*36*36), 36) + " "
+}
+
+func text(seed uint64, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(token(seed, i))
+	}
+	return b.String()
+}
