Connect the instances and keep the view of live ones

Cause: every part needs to know the live instances and to call them. Conclusion: a thin working version that the other parts can be written against.

--- /dev/null
+++ b/peer/news.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"math/bits"
+
+	"pumiceshelf/api"
+)
+
+const (
+	// newsPerHeartbeat bounds the updates that one heartbeat carries.
+	newsPerHeartbeat = 8
+	// newsLimit bounds the updates that wait.
+	newsLimit = 1024
+	// newsRepeat times the logarithm of the fleet's size is how often an update is passed on.
+	newsRepeat = 3
+)
+
+// newsQueue holds updates to pass on with heartbeats, each a bounded number of times.
+type newsQueue struct {
+	items []newsItem
+}
+
+type newsItem struct {
+	update *api.MemberUpdate
+	left   int
+}
+
+// push adds an update for a fleet of the given size. The oldest is dropped when the queue is full.
+func (q *newsQueue) push(u *api.MemberUpdate, size int) {
+	if len(q.items) == newsLimit {
+		q.items = q.items[1:]
+	}
+	q.items = append(q.items, newsItem{update: u, left: newsRepeat * bits.Len(uint(size))})
+}
+
+// take returns the updates for one heartbeat and counts them as passed on once.
+func (q *newsQueue) take() []*api.MemberUpdate {
+	n := min(newsPerHeartbeat, len(q.items))
+	out := make([]*api.MemberUpdate, 0, n)
+	head := q.items[:n]
+	rest := q.items[n:]
+	next := make([]newsItem, 0, len(q.items))
+	next = append(next, rest...)
+	for _, item := range head {
+		out = append(out, item.update)
+		if item.left--; item.left > 0 {
+			next = append(next, item)
+		}
+	}
+	q.items = next
+	return out
+}
+
+func (q *newsQueue) empty() bool { return len(q.items) == 0 }
--- /dev/null
+++ b/peer/view.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pumiceshelf/api"
+	"pumiceshelf/instance"
+)
+
+// snapshot is one immutable state of the view.
+type snapshot struct {
+	self    *api.Instance
+	members []Member
+	live    map[instance.Domain][]*api.Instance
+}
+
+// Self implements View.
+func (f *Fleet) Self() *api.Instance { return f.snap.Load().self }
+
+// Members implements View.
+func (f *Fleet) Members() []Member { return f.snap.Load().members }
+
+// Live implements View.
+func (f *Fleet) Live(domain instance.Domain) []*api.Instance { return f.snap.Load().live[domain] }
+
+// Owner implements View. Without a live instance in the domain, which a leaving one may see, it is the own instance.
+func (f *Fleet) Owner(topic string) *api.Instance {
+	s := f.snap.Load()
+	best := s.self
+	var bestWeight uint64
+	for i, inst := range s.live[instance.Domain(s.self.GetDomain())] {
+		if w := weight(topic, inst); i == 0 || w > bestWeight {
+			best, bestWeight = inst, w
+		}
+	}
+	return best
+}
+
+// Ranked implements View.
+func (f *Fleet) Ranked(topic string) []*api.Instance {
+	s := f.snap.Load()
+	out := append([]*api.Instance(nil), s.live[instance.Domain(s.self.GetDomain())]...)
+	sort.SliceStable(out, func(i, j int) bool { return weight(topic, out[i]) > weight(topic, out[j]) })
+	return out
+}
+
+// Changed implements View.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// weight of an instance for a topic in rendezvous hashing.
+func weight(topic string, inst *api.Instance) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(topic)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(inst.GetIncarnation())
+	return d.Sum64()
+}
