Call engines and plain services: bound answers, resume, cancel, silent connections

Cause: nothing spoke to endpoints yet. Change: an HTTP client that tells not sent from may have run by the writes on the connection, never lets net/http repeat a request, checks the id and offset of each event, drops duplicates, picks a broken or silent stream up at the engine, puts a whole answer that was cut together from the engine's stream, cancels what is given up and learns its usage, and replaces the connections to an endpoint when one goes silent.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -55,6 +55,8 @@
 	Body   []byte
 	Stream bool
 	Model  bool
+	// Fresh asks for a connection of its own, so that no idle connection that has gone silent can swallow the request.
+	Fresh bool
 	// CapTokens is the most tokens that may be generated, for a model call.
 	CapTokens uint64
 	Deadline  time.Time
@@ -87,8 +89,10 @@
 type Piece struct {
 	// Offset of its first token in the answer.
 	Offset uint64
-	// Data is the event as it goes to the caller.
+	// Data is the event's data as it goes to the caller. It is valid until sink returns.
 	Data []byte
+	// Usage says that the event only reports usage.
+	Usage bool
 }
 
 // Client calls endpoints. Implementations are safe for concurrent use.
--- /dev/null
+++ b/endpoint/exchange.go
@@ -0,0 +1,159 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// errSilent is the cause of a context that ended because a connection made no progress.
+var errSilent = errors.New("endpoint: no progress")
+
+// exchange is one HTTP request and its response.
+type exchange struct {
+	client    *HTTPClient
+	url       string
+	transport *http.Transport
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	watch     *watch
+	conn      atomic.Pointer[countedConn]
+	before    int64
+	res       *http.Response
+	err       error
+}
+
+// request is what an exchange sends.
+type request struct {
+	method string
+	// base is the endpoint's URL; path is appended to it.
+	base, path string
+	header     http.Header
+	body       []byte
+	fresh      bool
+}
+
+// exchange sends a request once; net/http never repeats it. The caller must call close.
+func (c *HTTPClient) exchange(ctx context.Context, r request) *exchange {
+	l := c.link(r.base)
+	x := &exchange{client: c, url: r.base, transport: l.shared.Load()}
+	if r.fresh {
+		x.transport = l.fresh
+	}
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	x.watch = newWatch(c.cfg.Clock, c.cfg.ProgressTimeout, func() { x.cancel(errSilent) })
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(x.ctx, x.trace()), r.method, r.base+r.path, nil)
+	if err != nil {
+		x.err = err
+		return x
+	}
+	x.fill(req, r)
+	x.res, x.err = x.transport.RoundTrip(req)
+	return x
+}
+
+// fill sets header and body. A body without GetBody, and no header that names a key, keep net/http from replaying.
+func (x *exchange) fill(req *http.Request, r request) {
+	for k, v := range r.header {
+		req.Header[k] = v
+	}
+	req.Header.Del("Idempotency-Key")
+	req.Header.Del("X-Idempotency-Key")
+	if len(r.body) == 0 && !lacksBody(r.method) {
+		req.Body = http.NoBody
+		return
+	}
+	req.Body = io.NopCloser(&watchedReader{r: bytes.NewReader(r.body), watch: x.watch})
+	req.ContentLength = int64(len(r.body))
+}
+
+// lacksBody says whether net/http would replay a request of the method that has no body.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func (x *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c := counted(info.Conn); c != nil {
+			x.before = c.writes.Load()
+			x.conn.Store(c)
+		}
+	}}
+}
+
+// sent says whether any byte of the request may have reached the endpoint.
+func (x *exchange) sent() bool {
+	c := x.conn.Load()
+	return c != nil && c.writes.Load() != x.before
+}
+
+// failure says why the exchange failed, from an error of sending or reading.
+func (x *exchange) failure(err error) Reason {
+	cause := context.Cause(x.ctx)
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.Is(cause, errSilent):
+		x.client.discard(x.url, x.transport)
+		return ReasonSilent
+	case errors.Is(cause, context.DeadlineExceeded):
+		return ReasonDeadline
+	case cause != nil:
+		return ReasonCallerGone
+	case errors.As(err, &tooLong):
+		return ReasonMalformed
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return ReasonTruncated
+	case x.conn.Load() == nil:
+		return ReasonDial
+	}
+	return ReasonReset
+}
+
+// body returns the response's body; reading it counts as progress.
+func (x *exchange) body() io.Reader { return &watchedReader{r: x.res.Body, watch: x.watch} }
+
+func (x *exchange) close() {
+	x.watch.stop()
+	if x.res != nil {
+		_ = x.res.Body.Close()
+	}
+	x.cancel(context.Canceled)
+}
+
+// watch calls a function when no progress was noted for a time.
+type watch struct {
+	timer clockwork.Timer
+	limit time.Duration
+}
+
+func newWatch(clock clockwork.Clock, limit time.Duration, f func()) *watch {
+	return &watch{timer: clock.AfterFunc(limit, f), limit: limit}
+}
+
+func (w *watch) progress() { w.timer.Reset(w.limit) }
+func (w *watch) stop()     { w.timer.Stop() }
+
+type watchedReader struct {
+	r     io.Reader
+	watch *watch
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if n > 0 {
+		r.watch.progress()
+	}
+	return n, err
+}
