--- a/admit/admit.go
+++ b/admit/admit.go
@@ -91,6 +91,8 @@
 	Prefix uint64
 	// Avoid lists endpoints that this request has failed on.
 	Avoid []string
+	// Once says that the request may not be repeated, so that it is not the one to try a recovering endpoint.
+	Once bool
 }
 
 // Admitter lets a request wait for its turn and an endpoint. Implementations are safe for concurrent use.
--- /dev/null
+++ b/admit/fair.go
@@ -0,0 +1,162 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+)
+
+// customerQueue holds one customer's requests of one group and class.
+type customerQueue struct {
+	name   string
+	weight float64
+	// start is the virtual time at which its next request may be served.
+	start float64
+	// sequence orders customers with equal start by when they began to wait.
+	sequence uint64
+	index    int
+	waiting  byDeadline
+	work     time.Duration
+}
+
+// excess is the number of requests that wait, over the customer's weight.
+func (c *customerQueue) excess(more int) float64 { return float64(len(c.waiting)+more) / c.weight }
+
+// classQueue holds the requests of one class. Customers share it by start-time fair queueing over costs; each
+// customer's own requests go earliest deadline first.
+type classQueue struct {
+	active  byStart
+	byName  map[string]*customerQueue
+	virtual float64
+	waiting int
+	work    time.Duration
+	weights float64
+}
+
+// byStart is a heap of customers with waiting requests.
+type byStart []*customerQueue
+
+func (h byStart) Len() int { return len(h) }
+func (h byStart) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h byStart) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+func (h *byStart) Push(x any) {
+	c := x.(*customerQueue)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+func (h *byStart) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	c.index = -1
+	return c
+}
+
+// customer returns the queue of a customer, nil if none of its requests waited lately.
+func (q *classQueue) customer(name string) *customerQueue { return q.byName[name] }
+
+func (q *classQueue) push(w *waiter) {
+	c := q.byName[w.item.Customer]
+	if c == nil {
+		c = &customerQueue{name: w.item.Customer, index: -1}
+		q.byName[c.name] = c
+	}
+	if len(c.waiting) == 0 {
+		c.weight = float64(max(w.item.Weight, 1))
+		c.start = max(c.start, q.virtual)
+		c.sequence = w.sequence
+		q.weights += c.weight
+		heap.Push(&q.active, c)
+	}
+	w.customer = c
+	heap.Push(&c.waiting, w)
+	c.work += w.work
+	q.work += w.work
+	q.waiting++
+}
+
+// head returns the request that is served next.
+func (q *classQueue) head() *waiter {
+	if len(q.active) == 0 {
+		return nil
+	}
+	return q.active[0].waiting[0]
+}
+
+// charge moves the customer's virtual start past a request that is served now.
+func (q *classQueue) charge(w *waiter) {
+	c := w.customer
+	q.virtual = max(q.virtual, c.start)
+	c.start += float64(max(w.item.Cost, 1)) / c.weight
+	heap.Fix(&q.active, c.index)
+}
+
+// remove takes a request out of the queue.
+func (q *classQueue) remove(w *waiter) {
+	c := w.customer
+	heap.Remove(&c.waiting, w.deadlineIndex)
+	c.work -= w.work
+	q.work -= w.work
+	q.waiting--
+	if len(c.waiting) == 0 {
+		heap.Remove(&q.active, c.index)
+		q.weights -= c.weight
+	}
+	if q.waiting == 0 {
+		q.reset()
+	}
+}
+
+// reset forgets the past of a queue that ran empty, so that it keeps nothing of customers that went away. A customer
+// that was served more than its share of an uncontended queue owes nothing.
+func (q *classQueue) reset() {
+	q.virtual = 0
+	q.work = 0
+	q.weights = 0
+	clear(q.byName)
+}
+
+// heaviest returns the customer that holds most places over its weight.
+func (q *classQueue) heaviest() *customerQueue {
+	var worst *customerQueue
+	for _, c := range q.active {
+		if worst == nil || c.excess(0) > worst.excess(0) {
+			worst = c
+		}
+	}
+	return worst
+}
+
+// workBefore returns the work of this class that is expected to be served before a new request: the customer's own
+// earlier work and one request more, with the shares that the others take beside it, and never more than all of it.
+func (q *classQueue) workBefore(item Item) time.Duration {
+	if q.waiting == 0 {
+		return 0
+	}
+	own := q.work / time.Duration(q.waiting)
+	if c := q.byName[item.Customer]; c != nil {
+		own += c.workUntil(item.Deadline)
+	}
+	share := q.weights / float64(max(item.Weight, 1))
+	return min(q.work, time.Duration(float64(own)*share))
+}
+
+// workUntil returns the work of requests whose deadlines are not after the given one.
+func (c *customerQueue) workUntil(deadline time.Time) time.Duration {
+	var work time.Duration
+	for _, w := range c.waiting {
+		if !w.item.Deadline.After(deadline) {
+			work += w.work
+		}
+	}
+	return work
+}
--- /dev/null
+++ b/admit/group.go
@@ -0,0 +1,155 @@
+package admit
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"pumiceshelf/invariant"
+)
+
+const (
+	// turnsPerLower is how many requests of higher classes go before a lower class that waits gets one turn.
+	turnsPerLower = 20
+	// demandTime is the time over which the demand of higher classes is averaged.
+	demandTime = 10 * time.Second
+	// headroomDeviations is how many standard deviations of the higher classes' demand stay free of batch work.
+	headroomDeviations = 1
+)
+
+// groupQueue holds the requests that wait for one model or service, and counts those dispatched.
+type groupQueue struct {
+	classes  [Classes]classQueue
+	expiry   byExpiry
+	inFlight [Classes]int
+	// passed counts dispatches of higher classes since the class, waiting, had its last turn.
+	passed [Classes]int
+	// demand is the average number of requests in flight above Batch, up to demandAt.
+	demand   float64
+	demandAt time.Time
+	service  estimator
+	bytes    int
+}
+
+func newGroupQueue() *groupQueue {
+	g := &groupQueue{}
+	for i := range g.classes {
+		g.classes[i].byName = make(map[string]*customerQueue)
+	}
+	return g
+}
+
+func (g *groupQueue) waiting() int { return len(g.expiry) }
+
+func (g *groupQueue) insert(w *waiter) {
+	g.classes[w.item.Class].push(w)
+	heap.Push(&g.expiry, w)
+	g.bytes += w.item.Bytes
+}
+
+func (g *groupQueue) remove(w *waiter) {
+	g.classes[w.item.Class].remove(w)
+	heap.Remove(&g.expiry, w.expiryIndex)
+	g.bytes -= w.item.Bytes
+	invariant.Check(g.bytes >= 0, "admit", "waiting requests hold %d bytes", g.bytes)
+}
+
+// head returns the request to dispatch next, given how many the group may run at once; nil if none may go.
+func (g *groupQueue) head(now time.Time, places int) *waiter {
+	for c := Classes - 1; c > 0; c-- {
+		if g.passed[c] >= turnsPerLower && g.classes[c].waiting > 0 {
+			return g.classes[c].head()
+		}
+	}
+	for c := range g.classes {
+		w := g.classes[c].head()
+		if w == nil {
+			continue
+		}
+		if Class(c) == Batch && !g.batchMayGo(now, places) {
+			return nil
+		}
+		return w
+	}
+	return nil
+}
+
+// batchMayGo says whether batch work leaves room for what the higher classes are expected to ask for while it runs:
+// their average demand and a deviation of it, as in square-root staffing.
+func (g *groupQueue) batchMayGo(now time.Time, places int) bool {
+	g.observeDemand(now)
+	higher := g.inFlight[Interactive] + g.inFlight[Standard]
+	if g.demand < 1 && higher == 0 {
+		return true
+	}
+	expected := g.demand + headroomDeviations*math.Sqrt(g.demand)
+	return float64(g.inFlight[Batch]+1)+max(expected, float64(higher)) <= float64(places)
+}
+
+// observeDemand brings the average demand up to now.
+func (g *groupQueue) observeDemand(now time.Time) {
+	higher := float64(g.inFlight[Interactive] + g.inFlight[Standard])
+	if g.demandAt.IsZero() || !now.After(g.demandAt) {
+		g.demandAt = now
+		return
+	}
+	keep := math.Exp(-now.Sub(g.demandAt).Seconds() / demandTime.Seconds())
+	g.demand = g.demand*keep + higher*(1-keep)
+	g.demandAt = now
+}
+
+// dispatch counts a request that goes to an endpoint now, whether it waited or not.
+func (g *groupQueue) dispatch(now time.Time, class Class) {
+	g.observeDemand(now)
+	g.inFlight[class]++
+	g.passed[class] = 0
+	for c := class + 1; c < Classes; c++ {
+		if g.classes[c].waiting > 0 {
+			g.passed[c]++
+		}
+	}
+}
+
+// finish counts a request that has left its endpoint.
+func (g *groupQueue) finish(now time.Time, class Class) {
+	g.observeDemand(now)
+	g.inFlight[class]--
+	invariant.Check(g.inFlight[class] >= 0, "admit", "%d requests in flight in class %d", g.inFlight[class], class)
+}
+
+// waitFor returns the expected wait of a new request.
+func (g *groupQueue) waitFor(item Item, places int) time.Duration {
+	work := g.classes[item.Class].workBefore(item)
+	for c := Class(0); c < item.Class; c++ {
+		work += g.classes[c].work
+	}
+	return work / time.Duration(max(places, 1))
+}
+
+// victim returns a waiting request that the new one may displace from its own class: one of the customer that holds
+// most places over its weight, unless that is the new one's own or would have fewer than it.
+func (g *groupQueue) victim(item Item) *waiter {
+	q := &g.classes[item.Class]
+	worst := q.heaviest()
+	if worst == nil || worst.name == item.Customer {
+		return nil
+	}
+	own := 1 / float64(max(item.Weight, 1))
+	if c := q.customer(item.Customer); c != nil {
+		own = c.excess(1)
+	}
+	if worst.excess(0) <= own {
+		return nil
+	}
+	return worst.waiting.last()
+}
+
+// lowerVictim returns a waiting request of a lower class than the given one, the lowest first.
+func (g *groupQueue) lowerVictim(class Class) *waiter {
+	for c := Classes - 1; c > class; c-- {
+		if worst := g.classes[c].heaviest(); worst != nil {
+			return worst.waiting.last()
+		}
+	}
+	return nil
+}
