--- a/bundle/snapshot.go
+++ b/bundle/snapshot.go
@@ -23,7 +23,6 @@
 	Weight uint32
 	// Budgets in the order of the bundle.
 	Budgets []Budget
-	keys    []KeyHash
 }
 
 // Budget in force.
--- /dev/null
+++ b/quota/entry.go
@@ -0,0 +1,323 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+)
+
+// entry is the requests' side: what this instance has reserved with holders, and settlements that are on their way.
+type entry struct {
+	m        *Manager
+	attempts atomic.Uint64
+
+	mu   sync.Mutex
+	open map[string]*openRequest
+	// sent are settlements that a holder has not yet confirmed as durable.
+	sent map[*delivery]struct{}
+}
+
+// openRequest is a request with a reservation, or one that is being reserved.
+type openRequest struct {
+	attempt uint64
+	lease   string
+	holder  string
+	ready   chan struct{}
+	answer  Reservation
+}
+
+// delivery is a settlement on its way to its holder. It is kept until the holder's record is durable.
+type delivery struct {
+	item   *api.SettleItem
+	holder string
+	// confirmed is closed when a holder has the record.
+	confirmed chan struct{}
+	// sequence is the holder's segment for the record, kept says that a holder has it, flying that it is being sent.
+	sequence uint64
+	kept     bool
+	flying   bool
+}
+
+func newEntry(m *Manager) *entry {
+	return &entry{m: m, open: make(map[string]*openRequest), sent: make(map[*delivery]struct{})}
+}
+
+// begin returns the open request with the id, and whether it was opened just now.
+func (e *entry) begin(requestID string) (*openRequest, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o := e.open[requestID]; o != nil {
+		return o, false
+	}
+	o := &openRequest{attempt: e.attempts.Add(1)}
+	e.open[requestID] = o
+	return o, true
+}
+
+// renew gives an open request another attempt number, for another holder.
+func (e *entry) renew(requestID string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := e.open[requestID]
+	o.attempt = e.attempts.Add(1)
+	return o.attempt
+}
+
+// finish publishes the answer to a reservation and forgets a refused one.
+func (e *entry) finish(requestID string, o *openRequest, r Reservation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o.answer, o.lease, o.holder = r, r.Lease, r.Holder
+	if o.ready != nil {
+		close(o.ready)
+	}
+	if r.Outcome != Granted {
+		delete(e.open, requestID)
+	}
+}
+
+// join waits for the answer to a reservation that another call makes.
+func (e *entry) join(ctx context.Context, o *openRequest) Reservation {
+	e.mu.Lock()
+	if o.answer.Outcome != 0 {
+		defer e.mu.Unlock()
+		return o.answer
+	}
+	if o.ready == nil {
+		o.ready = make(chan struct{})
+	}
+	ready := o.ready
+	e.mu.Unlock()
+	select {
+	case <-ready:
+		return o.answer
+	case <-ctx.Done():
+		return Reservation{Outcome: OutOfReach}
+	}
+}
+
+// end takes an open request out, or returns nil if it was settled before.
+func (e *entry) end(requestID string) *openRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := e.open[requestID]
+	if o == nil || o.answer.Outcome == 0 {
+		return nil
+	}
+	delete(e.open, requestID)
+	return o
+}
+
+// isOpen says whether an attempt of this instance may still run or has a settlement on its way.
+func (e *entry) isOpen(requestID string, attempt uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o := e.open[requestID]; o != nil && o.attempt == attempt {
+		return true
+	}
+	for d := range e.sent {
+		if !d.kept && d.item.Attempt == attempt && d.item.Record.RequestId == requestID {
+			return true
+		}
+	}
+	return false
+}
+
+// deliver sends a settlement to a holder and keeps it until it is durable.
+func (e *entry) deliver(item *api.SettleItem, holder string) *delivery {
+	d := &delivery{item: item, holder: holder, confirmed: make(chan struct{}), flying: true}
+	e.mu.Lock()
+	e.sent[d] = struct{}{}
+	e.mu.Unlock()
+	e.m.link(holder).settles.add(d)
+	return d
+}
+
+// kept notes that a holder has the records, and forgets those that are durable.
+func (e *entry) kept(batch []*delivery, result *api.SettleBatchResult) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, d := range batch {
+		d.flying = false
+		if !d.kept {
+			d.kept = true
+			close(d.confirmed)
+		}
+		d.sequence = result.Segment
+		if !d.item.Ran || result.Outcomes[i] != api.SettleOutcome_SETTLE_OUTCOME_SETTLED {
+			delete(e.sent, d)
+		}
+	}
+}
+
+// durable forgets the settlements that a holder has on record below a sequence.
+func (e *entry) durable(holder string, below uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for d := range e.sent {
+		if d.kept && d.holder == holder && d.sequence < below {
+			delete(e.sent, d)
+		}
+	}
+}
+
+// failed notes that a batch did not reach its holder.
+func (e *entry) failed(batch []*delivery) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range batch {
+		d.flying = false
+	}
+}
+
+// resend repeats settlements that are not confirmed, asks holders how far their records are durable, and hands the
+// settlements of holders that are gone to the budgets' present holders.
+func (e *entry) resend() {
+	live := e.m.liveIncarnations()
+	e.mu.Lock()
+	var again []*delivery
+	ask := make(map[string]bool)
+	for d := range e.sent {
+		switch {
+		case d.flying:
+		case !live[d.holder]:
+			d.item.Adopt = d.item.Ran
+			again = append(again, d)
+		case !d.kept:
+			again = append(again, d)
+		default:
+			ask[d.holder] = true
+		}
+	}
+	for _, d := range again {
+		d.flying = true
+	}
+	e.mu.Unlock()
+	for _, d := range again {
+		e.again(d, live)
+	}
+	for holder := range ask {
+		e.m.link(holder).settles.add(nil)
+	}
+}
+
+// again sends a settlement once more, to another holder if its own is gone.
+func (e *entry) again(d *delivery, live map[string]bool) {
+	e.m.counters.resent.Inc(1)
+	if !live[d.holder] {
+		e.rehome(d)
+		return
+	}
+	e.m.link(d.holder).settles.add(d)
+}
+
+// rehome gives the record of a lost holder's lease to the budget's present holder. A release has nothing left to release.
+func (e *entry) rehome(d *delivery) {
+	e.mu.Lock()
+	d.flying = false
+	if !d.item.Ran {
+		e.drop(d)
+		e.mu.Unlock()
+		return
+	}
+	rec := d.item.Record
+	owner := e.m.owner(budget.ID{Customer: rec.Customer, Budget: rec.Budget})
+	if owner != e.m.self {
+		d.holder, d.kept, d.flying = owner, false, true
+		d.confirmed = reopened(d.confirmed)
+		e.mu.Unlock()
+		e.m.link(owner).settles.add(d)
+		return
+	}
+	e.drop(d)
+	e.mu.Unlock()
+	e.m.holder.settle(d.item, e.m.self)
+}
+
+// drop forgets a settlement and ends the wait for it. The caller holds mu.
+func (e *entry) drop(d *delivery) {
+	if !d.kept {
+		d.kept = true
+		close(d.confirmed)
+	}
+	delete(e.sent, d)
+}
+
+// reopened returns a channel that may be closed again.
+func reopened(c chan struct{}) chan struct{} {
+	select {
+	case <-c:
+		return make(chan struct{})
+	default:
+		return c
+	}
+}
+
+// undelivered returns the number of settlements that no holder has confirmed.
+func (e *entry) undelivered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for d := range e.sent {
+		if !d.kept {
+			n++
+		}
+	}
+	return n
+}
+
+// reserveRemote asks the holder of a budget. It returns false if the holder did not answer or does not hold the budget.
+func (e *entry) reserveRemote(ctx context.Context, holder string, w *waiter, id budget.ID) (Reservation, bool) {
+	item := &api.ReserveItem{
+		RequestId:   w.requestID,
+		Customer:    id.Customer,
+		Budget:      id.Budget,
+		BoundTokens: uint64(w.bound),
+		Model:       w.model,
+		WaitMs:      uint32(w.deadline.Sub(w.since).Milliseconds()),
+		Attempt:     w.attempt.Number,
+	}
+	l := e.m.link(holder)
+	res := l.reserve(ctx, item)
+	if res != nil && res.Outcome == api.ReserveOutcome_RESERVE_OUTCOME_PENDING {
+		res = l.reserveWaiting(ctx, item, w.deadline.Sub(w.since))
+	}
+	if res == nil {
+		e.m.counters.holderRetry.Inc(1)
+		e.releaseUnknown(item, holder)
+		return Reservation{}, false
+	}
+	if res.Outcome == api.ReserveOutcome_RESERVE_OUTCOME_NOT_HOLDER {
+		e.m.counters.notHolder.Inc(1)
+		return Reservation{}, false
+	}
+	return Reservation{
+		Outcome:    outcomeOf(res.Outcome),
+		Lease:      res.Lease,
+		Holder:     res.Holder,
+		RetryAfter: time.Duration(res.RetryAfterMs) * time.Millisecond,
+	}, true
+}
+
+// releaseUnknown releases what a holder may have reserved in a call whose answer was lost.
+func (e *entry) releaseUnknown(item *api.ReserveItem, holder string) {
+	rec := &api.UsageRecord{RequestId: item.RequestId, Customer: item.Customer, Budget: item.Budget}
+	e.deliver(&api.SettleItem{Record: rec, Attempt: item.Attempt}, holder)
+}
+
+func outcomeOf(o api.ReserveOutcome) Outcome {
+	switch o {
+	case api.ReserveOutcome_RESERVE_OUTCOME_GRANTED:
+		return Granted
+	case api.ReserveOutcome_RESERVE_OUTCOME_EXHAUSTED:
+		return Exhausted
+	case api.ReserveOutcome_RESERVE_OUTCOME_UNKNOWN_BUDGET:
+		return UnknownBudget
+	default:
+		return OutOfReach
+	}
+}
--- /dev/null
+++ b/quota/failure_test.go
@@ -0,0 +1,159 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/budget"
+	"pumiceshelf/internal/standin"
+)
+
+func TestHolderCrash(t *testing.T) {
+	Convey("Given three instances and a holder with open and settled requests", t, func() {
+		f := newFleet(t, 10_000)
+		for _, n := range []string{"a", "b", "c"} {
+			f.start("d1", n)
+		}
+		holder, entry := f.holder("d1"), f.other("d1")
+		So(f.reserve(entry, "settled", 100).Outcome, ShouldEqual, Granted)
+		So(f.reserve(holder, "lost", 100).Outcome, ShouldEqual, Granted)
+		f.settle(entry, "settled", 60)
+		f.kill(holder)
+
+		Convey("within a minute the tokens are back but for what may have been spent", func() {
+			f.steps(time.Minute)
+			l := f.ledger()
+			So(l.Leases, ShouldHaveLength, 1)
+			So(l.Leases[0].Closed, ShouldBeTrue)
+			So(l.Leases[0].Bound, ShouldBeGreaterThanOrEqualTo, 160)
+			So(l.Leases[0].Bound, ShouldBeLessThan, 1000)
+			So(budget.Free(l), ShouldBeGreaterThan, 9000)
+		})
+		Convey("the next holder serves at once", func() {
+			So(f.reserve(entry, "next", 100).Outcome, ShouldEqual, Granted)
+		})
+	})
+}
+
+func TestPausedHolder(t *testing.T) {
+	Convey("Given a holder that pauses with authority left", t, func() {
+		f := newFleet(t, 10_000)
+		for _, n := range []string{"a", "b", "c"} {
+			f.start("d1", n)
+		}
+		holder, entry := f.holder("d1"), f.other("d1")
+		f.reserve(holder, "r0", 100)
+		f.pause(holder, true)
+		f.steps(time.Minute)
+		So(f.ledger().Leases[0].Closed, ShouldBeTrue)
+		bound := f.ledger().Leases[0].Bound
+
+		Convey("what it spends after waking stays within the bound that the lease was closed with", func() {
+			f.pause(holder, false)
+			f.cutPlatform(holder.self.Name)
+			spent := budget.Tokens(100)
+			for i := range 200 {
+				r := holder.Reserve(t.Context(), Request{RequestID: fmt.Sprint("w", i), Budget: hot, Bound: 100})
+				if r.Outcome == Granted {
+					spent += 100
+				}
+			}
+			So(uint64(spent), ShouldBeLessThanOrEqualTo, bound)
+		})
+		Convey("it finds its lease closed and takes another", func() {
+			f.pause(holder, false)
+			f.steps(2 * time.Minute)
+			So(f.reserve(holder, "r1", 100).Outcome, ShouldEqual, Granted)
+			So(f.reserve(entry, "r2", 100).Outcome, ShouldEqual, Granted)
+		})
+	})
+}
+
+func TestCutFromHolder(t *testing.T) {
+	Convey("Given an entry instance cut off from the holder", t, func() {
+		f := newFleet(t, 10_000)
+		f.start("d1", "a")
+		f.start("d1", "b")
+		holder, entry := f.holder("d1"), f.other("d1")
+		f.reserve(holder, "r0", 100)
+		f.cutLink(holder, entry, true)
+
+		Convey("it takes a lease of its own", func() {
+			r := f.reserve(entry, "r1", 100)
+			So(r.Outcome, ShouldEqual, Granted)
+			So(r.Holder, ShouldEqual, entry.self.Incarnation)
+			So(f.ledger().Leases, ShouldHaveLength, 2)
+		})
+		Convey("it gives the lease back after the cut", func() {
+			f.reserve(entry, "r1", 100)
+			f.settle(entry, "r1", 10)
+			f.cutLink(holder, entry, false)
+			f.steps(30 * time.Second)
+			So(f.ledger().Leases, ShouldHaveLength, 1)
+			So(f.ledger().ClosedSpend, ShouldEqual, 10)
+		})
+	})
+}
+
+func TestOrphans(t *testing.T) {
+	Convey("Given a request whose entry instance died", t, func() {
+		f := newFleet(t, 10_000)
+		known := false
+		f.resolve = func(context.Context, string, string) (budget.Tokens, budget.Tokens, bool) { return 10, 20, known }
+		for _, n := range []string{"a", "b", "c"} {
+			f.start("d1", n)
+		}
+		holder, entry := f.holder("d1"), f.other("d1")
+		f.reserve(entry, "r1", 100)
+
+		Convey("it is billed at the usage that an engine reports", func() {
+			known = true
+			f.kill(entry)
+			f.steps(90 * time.Second)
+			So(f.ledger().Leases[0].Settled, ShouldEqual, 30)
+		})
+		Convey("it is billed at its bound when no engine knows", func() {
+			f.kill(entry)
+			f.steps(90 * time.Second)
+			So(f.ledger().Leases[0].Settled, ShouldEqual, 100)
+		})
+		Convey("a late settlement of an instance that was only paused is a duplicate", func() {
+			f.pause(entry, true)
+			f.steps(90 * time.Second)
+			f.pause(entry, false)
+			f.settle(entry, "r1", 50)
+			f.steps(15 * time.Second)
+			So(f.ledger().Leases[0].Settled, ShouldEqual, 100)
+			So(holder.counters.duplicate.Count(), ShouldEqual, 1)
+		})
+		Convey("a released request is not billed", func() {
+			f.release(entry, "r1")
+			f.steps(90 * time.Second)
+			So(f.ledger().Leases[0].Settled, ShouldEqual, 0)
+		})
+		Convey("a reservation whose answer was lost is released", func() {
+			f.lose = func(_, to, rpc string) bool { return to == holder.self.Incarnation }
+			r := f.reserve(entry, "r2", 100)
+			So(r.Holder, ShouldEqual, entry.self.Incarnation)
+			f.lose = nil
+			f.steps(90 * time.Second)
+			So(holder.Status()[0].Lease.Reserved, ShouldEqual, 100)
+		})
+	})
+}
+
+// cutPlatform cuts the named instances off from the platform.
+func (f *fleet) cutPlatform(names ...string) {
+	f.objects.SetFaults(standin.Faults{Cut: func(caller string) bool {
+		for _, n := range names {
+			if n == caller {
+				return true
+			}
+		}
+		return false
+	}})
+}
--- /dev/null
+++ b/quota/manager.go
@@ -0,0 +1,257 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+)
+
+// Manager is the Keeper of an instance. It holds leases for budgets that the instance owns in its failure domain,
+// reserves at other holders for the rest, and acknowledges and reclaims leases of other instances.
+type Manager struct {
+	cfg      Config
+	self     string
+	domain   string
+	counters *counters
+	entry    *entry
+	holder   *holder
+	segments *segments
+	absences *absences
+
+	witnessMu sync.Mutex
+	witness   *budget.Witness
+
+	links  sync.Map // incarnation to *link
+	routes sync.Map // budget.ID to *route
+
+	// life ends background calls when Run ends.
+	life context.Context
+	end  context.CancelFunc
+}
+
+var _ Keeper = (*Manager)(nil)
+
+// New returns a manager that serves at once; Run does its background work.
+func New(cfg Config) *Manager {
+	life, end := context.WithCancel(context.Background())
+	m := &Manager{
+		cfg:      cfg,
+		self:     cfg.Self.Incarnation,
+		domain:   cfg.Self.Domain,
+		counters: newCounters(cfg.Metrics),
+		absences: newAbsences(),
+		witness:  budget.NewWitness(cfg.Self.Incarnation),
+		life:     life,
+		end:      end,
+	}
+	m.entry = newEntry(m)
+	m.holder = newHolder(m)
+	m.segments = newSegments(m.self, cfg.Store, m.counters)
+	return m
+}
+
+// Run writes ledgers and records, repeats settlements, and cares for lost requests and leases, until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	defer m.end()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval()/tickDivisor, m.holder.kicks, m.writeLedgers) })
+	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.writeRecords) })
+	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
+	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.resolveOrphans) })
+	return g.Wait()
+}
+
+// loop calls work at each interval and each kick until ctx ends.
+func (m *Manager) loop(ctx context.Context, interval time.Duration, kicks <-chan struct{}, work func(context.Context)) error {
+	ticker := m.cfg.Clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		case <-kicks:
+		}
+		work(ctx)
+	}
+}
+
+// writeLedgers looks at the ledgers that are due.
+func (m *Manager) writeLedgers(ctx context.Context) {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(writeLimit)
+	now := m.cfg.Clock.Now()
+	for _, b := range m.holder.allBooks() {
+		if b.due(now) {
+			g.Go(func() error {
+				b.flush(ctx)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait() // The functions return no errors.
+}
+
+// writeRecords writes usage records and repeats settlements.
+func (m *Manager) writeRecords(ctx context.Context) {
+	m.entry.resend()
+	if err := m.segments.flush(ctx); err != nil {
+		m.cfg.Log.Debugf("quota: usage records kept back: %v", err)
+	}
+}
+
+// Reserve implements Keeper.
+func (m *Manager) Reserve(ctx context.Context, r Request) Reservation {
+	o, first := m.entry.begin(r.RequestID)
+	if !first {
+		return m.entry.join(ctx, o)
+	}
+	res := m.reserve(ctx, r, o.attempt)
+	m.entry.finish(r.RequestID, o, res)
+	m.count(res.Outcome)
+	return res
+}
+
+func (m *Manager) count(o Outcome) {
+	switch o {
+	case Granted:
+		m.counters.granted.Inc(1)
+	case Exhausted:
+		m.counters.exhausted.Inc(1)
+	case UnknownBudget:
+		m.counters.unknown.Inc(1)
+	default:
+		m.counters.outOfReach.Inc(1)
+	}
+}
+
+// reserve asks the budget's holder in this domain, and takes a lease of its own when the holder cannot be reached.
+func (m *Manager) reserve(ctx context.Context, r Request, attempt uint64) Reservation {
+	if _, ok := m.grantedTotal(r.Budget); !ok {
+		return Reservation{Outcome: UnknownBudget}
+	}
+	now := m.cfg.Clock.Now()
+	w := &waiter{
+		requestID: r.RequestID,
+		attempt:   budget.Attempt{Incarnation: m.self, Number: attempt},
+		bound:     r.Bound,
+		model:     r.Model,
+		since:     now,
+		deadline:  now.Add(r.Wait),
+		answer:    make(chan Reservation, 1),
+	}
+	if owner := m.owner(r.Budget); owner != m.self && !m.link(owner).avoided() {
+		if res, ok := m.entry.reserveRemote(ctx, owner, w, r.Budget); ok {
+			return res
+		}
+		w.attempt.Number = m.entry.renew(r.RequestID)
+		w.since = m.cfg.Clock.Now()
+	}
+	res, a, decided := m.holder.reserve(w, r.Budget, r.Wait > 0)
+	if decided {
+		return res
+	}
+	if r.Wait <= 0 {
+		return Reservation{Outcome: OutOfReach, RetryAfter: platformRetryAfter}
+	}
+	return m.holder.wait(ctx, w, a)
+}
+
+// Settle implements Keeper.
+func (m *Manager) Settle(ctx context.Context, u Usage) {
+	o := m.entry.end(u.RequestID)
+	if o == nil {
+		m.counters.duplicate.Inc(1)
+		return
+	}
+	item := &api.SettleItem{Record: m.record(u, o), Attempt: o.attempt, Ran: u.Ran}
+	if o.holder == m.self {
+		m.holder.settle(item, m.self)
+		return
+	}
+	d := m.entry.deliver(item, o.holder)
+	select {
+	case <-d.confirmed:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Manager) record(u Usage, o *openRequest) *api.UsageRecord {
+	return &api.UsageRecord{
+		RequestId:       u.RequestID,
+		Customer:        u.Budget.Customer,
+		Budget:          u.Budget.Budget,
+		Lease:           o.lease,
+		Model:           u.Model,
+		Endpoint:        u.Endpoint,
+		PromptTokens:    uint64(u.Prompt),
+		GeneratedTokens: uint64(u.Generated),
+		AtBound:         u.AtBound,
+		UnixMs:          m.cfg.Clock.Now().UnixMilli(),
+	}
+}
+
+// link returns the link to another instance.
+func (m *Manager) link(incarnation string) *link {
+	if l, ok := m.links.Load(incarnation); ok {
+		return l.(*link)
+	}
+	l, _ := m.links.LoadOrStore(incarnation, newLink(m, incarnation))
+	return l.(*link)
+}
+
+// grantedTotal returns the grants of a budget in force.
+func (m *Manager) grantedTotal(id budget.ID) (budget.Tokens, bool) {
+	s := m.cfg.Bundles.Current()
+	if s == nil {
+		return 0, false
+	}
+	c := s.Customer(id.Customer)
+	if c == nil {
+		return 0, false
+	}
+	for i := range c.Budgets {
+		if c.Budgets[i].ID == id {
+			return c.Budgets[i].Granted, true
+		}
+	}
+	return 0, false
+}
+
+// Status returns the leases that the instance holds.
+func (m *Manager) Status() []*api.LeaseStatus {
+	var out []*api.LeaseStatus
+	m.holder.accounts.Range(func(_, v any) bool {
+		a := v.(*account)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, l := range a.leases() {
+			if l.Listed() {
+				out = append(out, leaseStatus(a.id, l))
+			}
+		}
+		return true
+	})
+	return out
+}
+
+func leaseStatus(id budget.ID, l *heldLease) *api.LeaseStatus {
+	return &api.LeaseStatus{
+		Customer: id.Customer,
+		Budget:   id.Budget,
+		Lease: &api.QuotaLeaseView{
+			Id:           l.ID(),
+			Taken:        uint64(l.Taken()),
+			Ceiling:      uint64(l.Ceiling()),
+			Watermark:    uint64(l.Watermark()),
+			Settled:      uint64(l.Settled()),
+			Reserved:     uint64(l.Reserved()),
+			OpenRequests: uint64(l.OpenRequests()),
+		},
+	}
+}
--- /dev/null
+++ b/quota/manager_test.go
@@ -0,0 +1,54 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestReserveAndSettle(t *testing.T) {
+	Convey("Given a domain of two instances and a budget of 1000 tokens", t, func() {
+		f := newFleet(t, 1000)
+		f.start("d1", "a")
+		f.start("d1", "b")
+		holder, other := f.holder("d1"), f.other("d1")
+
+		Convey("the first reservation takes a lease and waits for it", func() {
+			r := f.reserve(holder, "r1", 100)
+			So(r.Outcome, ShouldEqual, Granted)
+			So(r.Holder, ShouldEqual, holder.self.Incarnation)
+		})
+		Convey("another instance reserves and settles with the holder", func() {
+			r := f.reserve(other, "r1", 100)
+			So(r.Outcome, ShouldEqual, Granted)
+			So(r.Holder, ShouldEqual, holder.self.Incarnation)
+			f.settle(other, "r1", 60)
+			f.steps(12 * time.Second)
+			So(f.ledger().Leases[0].Settled, ShouldEqual, 60)
+		})
+		Convey("the whole budget can be spent, and not a token more", func() {
+			for i := range 10 {
+				id := fmt.Sprint("r", i)
+				So(f.reserve(other, id, 100).Outcome, ShouldEqual, Granted)
+				f.settle(other, id, 100)
+			}
+			So(f.reserve(other, "more", 1).Outcome, ShouldEqual, Exhausted)
+			So(f.reserve(holder, "more2", 1).Outcome, ShouldEqual, Exhausted)
+		})
+		Convey("an unknown budget is refused at once", func() {
+			r := holder.Reserve(t.Context(), Request{RequestID: "x", Wait: time.Second})
+			So(r.Outcome, ShouldEqual, UnknownBudget)
+		})
+		Convey("draining gives the lease back whole", func() {
+			f.reserve(other, "r1", 100)
+			f.settle(other, "r1", 60)
+			done := make(chan error, 1)
+			go func() { done <- holder.Drain(t.Context()) }()
+			f.awaitError(done)
+			So(f.ledger().Leases, ShouldBeEmpty)
+			So(f.ledger().ClosedSpend, ShouldEqual, 60)
+		})
+	})
+}
--- /dev/null
+++ b/quota/orphan.go
@@ -0,0 +1,144 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+)
+
+// orphanCheck is one reservation that has been open for long.
+type orphanCheck struct {
+	account   *account
+	lease     *heldLease
+	requestID string
+	model     string
+	bound     budget.Tokens
+	attempts  []budget.Attempt
+}
+
+// resolveOrphans looks at reservations open for long. Attempts that a live entry instance does not know never ran or
+// were settled, and are released. A reservation whose attempts are all of lost instances is billed once: at the usage
+// that an engine reports, else at its bound.
+func (m *Manager) resolveOrphans(ctx context.Context) {
+	live := m.liveIncarnations()
+	asked := make(map[string][]*api.OpenItem)
+	checks := m.oldReservations()
+	for _, c := range checks {
+		for _, t := range c.attempts {
+			if live[t.Incarnation] {
+				asked[t.Incarnation] = append(asked[t.Incarnation], &api.OpenItem{RequestId: c.requestID, Attempt: t.Number})
+			}
+		}
+	}
+	unknown := m.askOpen(asked)
+	for _, c := range checks {
+		m.resolveOrphan(ctx, c, unknown, live)
+	}
+}
+
+func (m *Manager) oldReservations() []orphanCheck {
+	now := m.cfg.Clock.Now()
+	before := now.Add(-m.cfg.orphanAfter()).UnixMilli()
+	var out []orphanCheck
+	m.holder.accounts.Range(func(_, v any) bool {
+		a := v.(*account)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, l := range a.leases() {
+			l.Reservations(func(id string, r *budget.Reservation) {
+				if r.SinceMs <= before {
+					attempts := append([]budget.Attempt(nil), r.Attempts...)
+					out = append(out, orphanCheck{a, l, id, r.Model, r.Bound, attempts})
+				}
+			})
+		}
+		return true
+	})
+	return out
+}
+
+// askOpen returns the attempts that their live entry instances do not know.
+func (m *Manager) askOpen(asked map[string][]*api.OpenItem) map[budget.Attempt]bool {
+	unknown := make(map[budget.Attempt]bool)
+	for incarnation, items := range asked {
+		open := m.openAt(incarnation, items)
+		for i, o := range open {
+			if !o {
+				unknown[budget.Attempt{Incarnation: incarnation, Number: items[i].Attempt}] = true
+			}
+		}
+	}
+	return unknown
+}
+
+func (m *Manager) openAt(incarnation string, items []*api.OpenItem) []bool {
+	req := &api.OpenRequest{Items: items}
+	if incarnation == m.self {
+		res, _ := service{m}.Open(m.life, req)
+		return res.Open
+	}
+	client, ctx, cancel, err := m.link(incarnation).client(callTimeout)
+	if err != nil {
+		return nil
+	}
+	defer cancel()
+	res, err := client.Open(ctx, req)
+	if err != nil || len(res.Open) != len(items) {
+		return nil
+	}
+	return res.Open
+}
+
+func (m *Manager) resolveOrphan(ctx context.Context, c orphanCheck, unknown map[budget.Attempt]bool, live map[string]bool) {
+	now := m.cfg.Clock.Now()
+	gone := 0
+	for _, t := range c.attempts {
+		if unknown[t] {
+			c.account.mu.Lock()
+			m.holder.release(c.account, c.requestID, t, now)
+			c.account.mu.Unlock()
+			m.counters.orphanFreed.Inc(1)
+		} else if !live[t.Incarnation] && m.absences.of(t.Incarnation, live, now) >= m.cfg.orphanAfter() {
+			gone++
+		}
+	}
+	if gone == len(c.attempts) {
+		m.billOrphan(ctx, c, now)
+	}
+}
+
+func (m *Manager) billOrphan(ctx context.Context, c orphanCheck, now time.Time) {
+	rec := &api.UsageRecord{
+		RequestId: c.requestID,
+		Customer:  c.account.id.Customer,
+		Budget:    c.account.id.Budget,
+		Lease:     c.lease.ID(),
+		Model:     c.model,
+		UnixMs:    now.UnixMilli(),
+	}
+	prompt, generated, known := m.ask(ctx, c)
+	if known {
+		m.counters.orphan.Inc(1)
+		rec.PromptTokens, rec.GeneratedTokens = uint64(prompt), uint64(generated)
+	} else {
+		m.counters.orphanBound.Inc(1)
+		rec.GeneratedTokens, rec.AtBound = uint64(c.bound), true
+		prompt, generated = 0, c.bound
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if charge, ok := c.lease.SettleOrphan(c.requestID, prompt+generated); ok {
+		m.holder.record(c.account, c.lease, rec, charge, prompt+generated, c.bound, now)
+	}
+}
+
+func (m *Manager) ask(ctx context.Context, c orphanCheck) (prompt, generated budget.Tokens, known bool) {
+	if m.cfg.Resolve == nil {
+		return 0, 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return m.cfg.Resolve(ctx, c.requestID, c.model)
+}
