--- a/endpoint/control.go
+++ b/endpoint/control.go
@@ -95,7 +95,7 @@
 	if err := c.control(ctx, request{method: http.MethodGet, base: base, path: path}, &out); err != nil {
 		return nil, fmt.Errorf("load of %s: %w", base, err)
 	}
-	return &api.EndpointLoad{Running: out.Running, Waiting: out.Waiting, Capacity: out.Capacity}, nil
+	return &api.EndpointLoad{Running: out.Running, Waiting: out.Waiting, Capacity: out.Capacity, Leaving: out.Leaving}, nil
 }
 
 // State returns what an engine has loaded.
