--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,119 @@
+package bundle
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"strings"
+
+	"pumiceshelf/api"
+	"pumiceshelf/fieldcheck"
+)
+
+// Check returns all that is wrong with a bundle taken by itself.
+func Check(b *api.Bundle) fieldcheck.Problems {
+	_, problems := compileWhole(b)
+	return problems
+}
+
+// CheckSuccessor returns all that is wrong with a bundle that is to replace the previous one.
+func CheckSuccessor(previous, next *api.Bundle) fieldcheck.Problems {
+	old, problems := compileWhole(previous)
+	if len(problems) > 0 {
+		return problems
+	}
+	content, problems := wholeContent(next)
+	if len(problems) > 0 {
+		return problems
+	}
+	_, problems = compile(content, old)
+	return problems
+}
+
+func compileWhole(b *api.Bundle) (*compiled, fieldcheck.Problems) {
+	content, problems := wholeContent(b)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return compile(content, nil)
+}
+
+func wholeContent(b *api.Bundle) (*content, fieldcheck.Problems) {
+	m, parts := Split(b)
+	c, err := load(context.Background(), m, nil, localFetcher{parts: byHash(parts)})
+	if err != nil {
+		return nil, fieldcheck.Problems{{Path: "bundle", Has: err.Error(), Must: "readable"}}
+	}
+	return c, nil
+}
+
+func (b *builder) checkManifest() {
+	m := b.next.manifest
+	b.check.Require(m.Number > b.previous.snapshot.Number, "number", m.Number,
+		fmt.Sprintf("over %d, the number of the previous bundle", b.previous.snapshot.Number))
+	checkOperators(&b.check, m.Operators, m.Threshold)
+}
+
+// CheckOperators returns all that is wrong with a set of operators.
+func CheckOperators(operators []*api.OperatorKey, threshold uint32) fieldcheck.Problems {
+	var check fieldcheck.Checker
+	checkOperators(&check, operators, threshold)
+	return check.Problems()
+}
+
+func checkOperators(check *fieldcheck.Checker, operators []*api.OperatorKey, threshold uint32) {
+	check.Require(len(operators) > 0, "operators", len(operators), "a list of one operator or more")
+	ids := make(map[string]bool)
+	keys := make(map[string]bool)
+	for i, o := range operators {
+		path := itemPath("operators", o.Id, i)
+		checkID(check, path+".id", o.Id)
+		check.Require(!ids[o.Id], path+".id", o.Id, "an id that no other operator has")
+		check.Require(len(o.PublicKey) == ed25519.PublicKeySize, path+".publicKey", bytesText(o.PublicKey),
+			fmt.Sprintf("%d bytes, in base64", ed25519.PublicKeySize))
+		check.Require(!keys[string(o.PublicKey)], path+".publicKey", o.PublicKey, "a key that no other operator has")
+		ids[o.Id], keys[string(o.PublicKey)] = true, true
+	}
+	check.Require(threshold >= 1 && int(threshold) <= len(operators), "threshold", threshold,
+		fmt.Sprintf("from 1 to the number of operators, %d", len(operators)))
+}
+
+func bytesText(b []byte) string { return fmt.Sprintf("%d bytes", len(b)) }
+
+func itemPath(list, id string, index int) string {
+	if id == "" {
+		return fmt.Sprintf("%s[%d]", list, index)
+	}
+	return fmt.Sprintf("%s[%s]", list, id)
+}
+
+func customerPath(id string) string { return itemPath("customers", id, 0) }
+
+// idLimit is the longest id in bytes.
+const idLimit = 128
+
+// checkID requires an id of letters, digits and a few signs that are safe in URLs, file names and platform keys.
+func checkID(check *fieldcheck.Checker, path, id string) { checkIDWith(check, path, id, "") }
+
+// checkModelID requires an id that may also hold slashes, as engines' model names do.
+func checkModelID(check *fieldcheck.Checker, path, id string) { checkIDWith(check, path, id, "/") }
+
+func checkIDWith(check *fieldcheck.Checker, path, id, more string) {
+	ok := id != "" && len(id) <= idLimit && id != "." && id != ".."
+	for _, r := range id {
+		ok = ok && (idRune(r) || strings.ContainsRune(more, r))
+	}
+	check.Require(ok, path, id, fmt.Sprintf("1 to %d letters, digits or any of . _ - : @ + %s", idLimit, more))
+}
+
+func idRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	}
+	switch r {
+	case '.', '_', '-', ':', '@', '+':
+		return true
+	}
+	return false
+}
--- a/bundle/compile.go
+++ b/bundle/compile.go
@@ -1,52 +1,85 @@
 package bundle
 
 import (
+	"maps"
+
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
+	"pumiceshelf/fieldcheck"
 	"pumiceshelf/instance"
 )
 
-// Compile builds the snapshot of a bundle that has passed its checks.
+// Compile builds the snapshot of a bundle without checking it. Of things with the same id the last one counts.
 func Compile(b *api.Bundle) *Snapshot {
-	s := &Snapshot{
-		Number:          b.Number,
-		Operators:       b.Operators,
-		Threshold:       b.Threshold,
-		ConcurrentLoads: b.ConcurrentLoads,
-		customers:       make(map[string]*Customer, len(b.Customers)),
-		keys:            make(map[KeyHash]*Customer, len(b.Customers)),
-		models:          make(map[string]*Model, len(b.Models)),
-		endpoints:       make(map[string]*Endpoint, len(b.Endpoints)),
-		groups:          make(map[string][]*Endpoint),
-		retired:         make(map[instance.Incarnation]bool, len(b.RetiredIncarnations)),
-	}
+	s := emptySnapshot()
+	s.setManifest(b.Number, b.Operators, b.Threshold)
 	for _, c := range b.Customers {
-		s.addCustomer(c)
+		s.addCustomer(compileCustomer(c))
 	}
-	for _, m := range b.Models {
+	s.setFleet(fleetPart(b))
+	s.setEndpoints(b.Endpoints)
+	return s
+}
+
+func emptySnapshot() *Snapshot {
+	return &Snapshot{customers: make(map[string]*Customer), keys: make(map[KeyHash]*Customer)}
+}
+
+func (s *Snapshot) setManifest(number uint64, operators []*api.OperatorKey, threshold uint32) {
+	s.Number = number
+	s.Operators = operators
+	s.Threshold = threshold
+}
+
+func (s *Snapshot) setFleet(f *api.FleetPart) {
+	s.ConcurrentLoads = f.ConcurrentLoads
+	s.models = make(map[string]*Model, len(f.Models))
+	s.services = nil
+	s.retired = make(map[instance.Incarnation]bool, len(f.RetiredIncarnations))
+	for _, m := range f.Models {
 		s.models[m.Id] = compileModel(m)
 	}
-	for _, v := range b.Services {
+	for _, v := range f.Services {
 		s.services = append(s.services, compileService(v))
 	}
-	for _, e := range b.Endpoints {
+	for _, i := range f.RetiredIncarnations {
+		s.retired[instance.Incarnation(i)] = true
+	}
+}
+
+func (s *Snapshot) setEndpoints(list []*api.Endpoint) {
+	s.endpoints = make(map[string]*Endpoint, len(list))
+	s.groups = make(map[string][]*Endpoint)
+	for _, e := range list {
 		s.addEndpoint(compileEndpoint(e))
 	}
-	for _, i := range b.RetiredIncarnations {
-		s.retired[instance.Incarnation(i)] = true
+}
+
+func (s *Snapshot) addCustomer(c *Customer) {
+	s.customers[c.ID] = c
+	for _, h := range c.keys {
+		s.keys[h] = c
 	}
-	return s
 }
 
-func (s *Snapshot) addCustomer(c *api.Customer) {
+func (s *Snapshot) removeCustomer(c *Customer) {
+	delete(s.customers, c.ID)
+	for _, h := range c.keys {
+		delete(s.keys, h)
+	}
+}
+
+func compileCustomer(c *api.Customer) *Customer {
 	out := &Customer{ID: c.Id, Weight: max(c.Weight, 1)}
 	for _, b := range c.Budgets {
 		out.Budgets = append(out.Budgets, compileBudget(c.Id, b))
 	}
-	s.customers[c.Id] = out
 	for _, h := range c.KeyHashes {
-		s.keys[KeyHash(h)] = out
+		if len(h) == len(KeyHash{}) {
+			out.keys = append(out.keys, KeyHash(h))
+		}
 	}
+	return out
 }
 
 func compileBudget(customer string, b *api.Budget) Budget {
@@ -100,3 +133,131 @@
 		s.groups[ServiceGroup(e.Service)] = append(s.groups[ServiceGroup(e.Service)], e)
 	}
 }
+
+// compiled is a content that passed its checks, with its snapshot.
+type compiled struct {
+	content  *content
+	snapshot *Snapshot
+	byPart   map[Hash]*Customer
+}
+
+// compile checks a content and compiles it, reusing what the previous one shares with it. Problems keep it out.
+func compile(next *content, previous *compiled) (*compiled, fieldcheck.Problems) {
+	b := newBuilder(next, previous)
+	b.checkManifest()
+	b.buildFleet()
+	b.buildEndpoints()
+	b.buildCustomers()
+	if problems := b.check.Problems(); len(problems) > 0 {
+		return nil, problems
+	}
+	return b.out, nil
+}
+
+// builder compiles one content on top of the previous one.
+type builder struct {
+	check    fieldcheck.Checker
+	next     *content
+	previous *compiled
+	out      *compiled
+}
+
+func newBuilder(next *content, previous *compiled) *builder {
+	if previous == nil {
+		previous = &compiled{content: &content{}, snapshot: emptySnapshot()}
+	}
+	s := *previous.snapshot
+	s.customers = maps.Clone(s.customers)
+	s.keys = maps.Clone(s.keys)
+	s.setManifest(next.manifest.Number, next.manifest.Operators, next.manifest.Threshold)
+	out := &compiled{content: next, snapshot: &s, byPart: make(map[Hash]*Customer, len(previous.byPart))}
+	return &builder{next: next, previous: previous, out: out}
+}
+
+func (b *builder) fleetChanged() bool { return b.previous.content.fleetHash != b.next.fleetHash }
+
+func (b *builder) buildFleet() {
+	if !b.fleetChanged() {
+		return
+	}
+	checkFleet(&b.check, b.next.fleet)
+	b.out.snapshot.setFleet(b.next.fleet)
+}
+
+func (b *builder) buildEndpoints() {
+	if !b.fleetChanged() && sameEndpointPages(b.previous.content.endpoints, b.next.endpoints) {
+		return
+	}
+	var all []*api.Endpoint
+	for _, page := range b.next.endpoints {
+		all = append(all, page.endpoints...)
+	}
+	checkEndpoints(&b.check, all, b.out.snapshot)
+	b.out.snapshot.setEndpoints(all)
+}
+
+func sameEndpointPages(a, b []endpointPage) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].hash != b[i].hash {
+			return false
+		}
+	}
+	return true
+}
+
+// buildCustomers takes out the customers whose parts are gone, then adds the new parts.
+func (b *builder) buildCustomers() {
+	wanted := b.next.customerHashes()
+	replaced := make(map[string]Hash)
+	for h, c := range b.previous.byPart {
+		if wanted[h] {
+			b.out.byPart[h] = c
+			continue
+		}
+		b.out.snapshot.removeCustomer(c)
+		replaced[c.ID] = h
+	}
+	for _, page := range b.next.customers {
+		for _, h := range page.hashes {
+			b.buildCustomer(h, replaced)
+		}
+	}
+	b.checkRemoved(replaced)
+}
+
+func (b *builder) buildCustomer(h Hash, replaced map[string]Hash) {
+	if kept := b.out.byPart[h]; kept != nil {
+		if b.fleetChanged() {
+			checkBudgetModels(&b.check, kept, b.out.snapshot)
+		}
+		return
+	}
+	customer, err := b.next.decodeCustomer(h)
+	if err != nil {
+		b.check.Wrong("customers", h.String(), "the hash of a customer's part")
+		return
+	}
+	c := compileCustomer(customer)
+	checkCustomer(&b.check, customer)
+	checkBudgetModels(&b.check, c, b.out.snapshot)
+	b.checkUnique(c)
+	if old, ok := replaced[c.ID]; ok {
+		b.checkGrants(old, customer)
+		delete(replaced, c.ID)
+	}
+	b.out.byPart[h] = c
+	b.out.snapshot.addCustomer(c)
+}
+
+func (b *builder) checkUnique(c *Customer) {
+	b.check.Require(b.out.snapshot.customers[c.ID] == nil, "customers", c.ID, "an id that no other customer has")
+	for _, h := range c.keys {
+		if other := b.out.snapshot.keys[h]; other != nil {
+			path := customerPath(c.ID) + ".keyHashes"
+			b.check.Wrong(path, Hash(h).String(), "a key that customer "+other.ID+" does not have")
+		}
+	}
+}
--- /dev/null
+++ b/bundle/content.go
@@ -0,0 +1,230 @@
+package bundle
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"pumiceshelf/api"
+)
+
+// content is a bundle as its parts: the encoded parts by hash, for peers, and what they decode to. It never changes
+// once loaded. Content that follows another shares with it what did not change.
+type content struct {
+	manifest  *api.Manifest
+	parts     map[Hash][]byte
+	fleetHash Hash
+	fleet     *api.FleetPart
+	endpoints []endpointPage
+	customers []customerPage
+}
+
+type endpointPage struct {
+	hash      Hash
+	endpoints []*api.Endpoint
+}
+
+type customerPage struct {
+	hash   Hash
+	hashes []Hash
+}
+
+// loader gathers the content of one manifest.
+type loader struct {
+	out      *content
+	previous *content
+	fetcher  fetcher
+}
+
+// load gathers the parts that the manifest names: from the previous content what it shares, else from the fetcher.
+func load(ctx context.Context, m *api.Manifest, previous *content, f fetcher) (*content, error) {
+	l := &loader{out: &content{manifest: m, parts: make(map[Hash][]byte)}, previous: previous, fetcher: f}
+	if previous == nil {
+		l.previous = &content{}
+	}
+	if err := l.loadPages(ctx); err != nil {
+		return nil, err
+	}
+	if err := l.loadCustomers(ctx); err != nil {
+		return nil, err
+	}
+	return l.out, nil
+}
+
+func (l *loader) loadPages(ctx context.Context) error {
+	m := l.out.manifest
+	fleet, err := hashFrom(m.FleetHash)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	endpoints, err := hashesFrom(m.EndpointPageHashes)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	customers, err := hashesFrom(m.CustomerPageHashes)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	wants := []want{{hash: fleet, pack: fleet}}
+	for _, h := range append(append([]Hash(nil), endpoints...), customers...) {
+		wants = append(wants, want{hash: h, pack: h})
+	}
+	if err := l.bring(ctx, wants); err != nil {
+		return err
+	}
+	return l.decodePages(fleet, endpoints, customers)
+}
+
+func (l *loader) decodePages(fleet Hash, endpoints, customers []Hash) error {
+	part, err := l.decode(fleet)
+	if err != nil {
+		return err
+	}
+	if part.GetFleet() == nil {
+		return fmt.Errorf("%w: part %s is not a fleet part", ErrMalformed, fleet)
+	}
+	l.out.fleetHash, l.out.fleet = fleet, part.GetFleet()
+	for _, h := range endpoints {
+		if err := l.addEndpointPage(h); err != nil {
+			return err
+		}
+	}
+	for _, h := range customers {
+		if err := l.addCustomerPage(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *loader) addEndpointPage(h Hash) error {
+	for _, page := range l.previous.endpoints {
+		if page.hash == h {
+			l.out.endpoints = append(l.out.endpoints, page)
+			return nil
+		}
+	}
+	part, err := l.decode(h)
+	if err != nil {
+		return err
+	}
+	if part.GetEndpoints() == nil {
+		return fmt.Errorf("%w: part %s is not a page of endpoints", ErrMalformed, h)
+	}
+	l.out.endpoints = append(l.out.endpoints, endpointPage{hash: h, endpoints: part.GetEndpoints().Endpoints})
+	return nil
+}
+
+func (l *loader) addCustomerPage(h Hash) error {
+	part, err := l.decode(h)
+	if err != nil {
+		return err
+	}
+	if part.GetCustomers() == nil {
+		return fmt.Errorf("%w: part %s is not a page of customers", ErrMalformed, h)
+	}
+	hashes, err := hashesFrom(part.GetCustomers().CustomerHashes)
+	if err != nil {
+		return fmt.Errorf("%w: part %s: %w", ErrMalformed, h, err)
+	}
+	l.out.customers = append(l.out.customers, customerPage{hash: h, hashes: hashes})
+	return nil
+}
+
+func (l *loader) loadCustomers(ctx context.Context) error {
+	var wants []want
+	for _, page := range l.out.customers {
+		for _, h := range page.hashes {
+			wants = append(wants, want{hash: h, pack: page.hash})
+		}
+	}
+	return l.bring(ctx, wants)
+}
+
+// bring puts the wanted parts into the content.
+func (l *loader) bring(ctx context.Context, wants []want) error {
+	var missing []want
+	for _, w := range wants {
+		if b, ok := l.previous.parts[w.hash]; ok {
+			l.out.parts[w.hash] = b
+		} else if _, ok := l.out.parts[w.hash]; !ok {
+			missing = append(missing, w)
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	found, err := l.fetcher.fetch(ctx, missing)
+	if err != nil {
+		return err
+	}
+	for h, b := range found {
+		l.out.parts[h] = b
+	}
+	for _, w := range missing {
+		if _, ok := found[w.hash]; !ok {
+			return fmt.Errorf("%w: %s", errPartsMissing, w.hash)
+		}
+	}
+	return nil
+}
+
+func (l *loader) decode(h Hash) (*api.Part, error) { return l.out.decode(h) }
+
+func (c *content) decode(h Hash) (*api.Part, error) {
+	part := &api.Part{}
+	if err := proto.Unmarshal(c.parts[h], part); err != nil {
+		return nil, fmt.Errorf("%w: part %s: %w", ErrMalformed, h, err)
+	}
+	return part, nil
+}
+
+// decodeCustomer returns the customer whose part has the hash.
+func (c *content) decodeCustomer(h Hash) (*api.Customer, error) {
+	part, err := c.decode(h)
+	if err != nil {
+		return nil, err
+	}
+	if part.GetCustomer() == nil {
+		return nil, fmt.Errorf("%w: part %s is not a customer", ErrMalformed, h)
+	}
+	return part.GetCustomer(), nil
+}
+
+// customerHashes returns the hashes of all customers' parts.
+func (c *content) customerHashes() map[Hash]bool {
+	out := make(map[Hash]bool)
+	for _, page := range c.customers {
+		for _, h := range page.hashes {
+			out[h] = true
+		}
+	}
+	return out
+}
+
+// bundle returns the content as operators write it.
+func (c *content) bundle() (*api.Bundle, error) {
+	b := &api.Bundle{
+		Number:              c.manifest.Number,
+		Operators:           c.manifest.Operators,
+		Threshold:           c.manifest.Threshold,
+		Models:              c.fleet.Models,
+		Services:            c.fleet.Services,
+		RetiredIncarnations: c.fleet.RetiredIncarnations,
+		ConcurrentLoads:     c.fleet.ConcurrentLoads,
+	}
+	for _, page := range c.endpoints {
+		b.Endpoints = append(b.Endpoints, page.endpoints...)
+	}
+	for _, page := range c.customers {
+		for _, h := range page.hashes {
+			customer, err := c.decodeCustomer(h)
+			if err != nil {
+				return nil, err
+			}
+			b.Customers = append(b.Customers, customer)
+		}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,216 @@
+package bundle
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"pumiceshelf/api"
+	"pumiceshelf/platform"
+)
+
+// Change is one difference between two bundles.
+type Change struct {
+	// Path of the field.
+	Path string `json:"path"`
+	// Old and New values for people; empty for absent.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	switch {
+	case c.Old == "":
+		return fmt.Sprintf("+ %s = %s", c.Path, c.New)
+	case c.New == "":
+		return fmt.Sprintf("- %s = %s", c.Path, c.Old)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
+	}
+}
+
+// Diff returns what changes from one bundle to another. Lists of things with ids are compared by id.
+func Diff(old, next *api.Bundle) []Change {
+	d := &differ{}
+	d.message("", old.ProtoReflect(), next.ProtoReflect())
+	return d.changes
+}
+
+// ChangesBetween reads the pages in which two manifests differ and returns what changed; old is nil before the first
+// bundle. The parts given are not read from the platform.
+func ChangesBetween(ctx context.Context, store platform.Store, old, next *api.Manifest, parts [][]byte) ([]Change, error) {
+	from, to, err := Differing(ctx, store, old, next, parts)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(from, to), nil
+}
+
+// Differing returns two bundles cut down to the pages in which the manifests differ; see ChangesBetween.
+func Differing(ctx context.Context, store platform.Store, old, next *api.Manifest, parts [][]byte) (from, to *api.Bundle, err error) {
+	f := localFetcher{parts: byHash(parts), rest: storeFetcher{store: store}}
+	from = &api.Bundle{}
+	if old != nil {
+		if from, err = loadBundle(ctx, cutDown(old, next), f); err != nil {
+			return nil, nil, err
+		}
+	}
+	to, err = loadBundle(ctx, cutDown(next, old), f)
+	return from, to, err
+}
+
+// ReadBundle reads a whole bundle from the platform.
+func ReadBundle(ctx context.Context, store platform.Store, m *api.Manifest) (*api.Bundle, error) {
+	return loadBundle(ctx, m, storeFetcher{store: store})
+}
+
+func loadBundle(ctx context.Context, m *api.Manifest, f fetcher) (*api.Bundle, error) {
+	c, err := load(ctx, m, nil, f)
+	if err != nil {
+		return nil, err
+	}
+	return c.bundle()
+}
+
+// cutDown returns the manifest with only the pages that the other does not name.
+func cutDown(m, other *api.Manifest) *api.Manifest {
+	return &api.Manifest{
+		Number:             m.Number,
+		Operators:          m.Operators,
+		Threshold:          m.Threshold,
+		FleetHash:          m.FleetHash,
+		EndpointPageHashes: notIn(m.EndpointPageHashes, other.GetEndpointPageHashes()),
+		CustomerPageHashes: notIn(m.CustomerPageHashes, other.GetCustomerPageHashes()),
+	}
+}
+
+func notIn(list, other [][]byte) [][]byte {
+	seen := make(map[string]bool, len(other))
+	for _, h := range other {
+		seen[string(h)] = true
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(h []byte) bool { return seen[string(h)] })
+}
+
+type differ struct{ changes []Change }
+
+func (d *differ) add(path, old, next string) {
+	if old != next {
+		d.changes = append(d.changes, Change{Path: path, Old: old, New: next})
+	}
+}
+
+func (d *differ) message(path string, old, next protoreflect.Message) {
+	fields := next.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		name := f.JSONName()
+		if path != "" {
+			name = path + "." + name
+		}
+		switch {
+		case f.IsList() && f.Message() != nil:
+			d.keyed(name, f, old.Get(f).List(), next.Get(f).List())
+		case f.IsList():
+			d.set(name, f, old.Get(f).List(), next.Get(f).List())
+		default:
+			d.add(name, fieldText(f, old), fieldText(f, next))
+		}
+	}
+}
+
+// keyed compares lists of messages with ids.
+func (d *differ) keyed(path string, f protoreflect.FieldDescriptor, old, next protoreflect.List) {
+	id := f.Message().Fields().ByName("id")
+	was := make(map[string]protoreflect.Message)
+	for i := range old.Len() {
+		m := old.Get(i).Message()
+		was[m.Get(id).String()] = m
+	}
+	for i := range next.Len() {
+		m := next.Get(i).Message()
+		key := m.Get(id).String()
+		itemPath := path + "[" + key + "]"
+		if before, ok := was[key]; ok {
+			d.message(itemPath, before, m)
+			delete(was, key)
+		} else {
+			d.add(itemPath, "", messageText(m))
+		}
+	}
+	for i := range old.Len() {
+		m := old.Get(i).Message()
+		key := m.Get(id).String()
+		if _, gone := was[key]; gone {
+			d.add(path+"["+key+"]", messageText(m), "")
+		}
+	}
+}
+
+// set compares lists of plain values without regard to order.
+func (d *differ) set(path string, f protoreflect.FieldDescriptor, old, next protoreflect.List) {
+	was := listTexts(f, old)
+	now := listTexts(f, next)
+	for _, text := range now {
+		if !slices.Contains(was, text) {
+			d.add(path, "", text)
+		}
+	}
+	for _, text := range was {
+		if !slices.Contains(now, text) {
+			d.add(path, text, "")
+		}
+	}
+}
+
+func listTexts(f protoreflect.FieldDescriptor, list protoreflect.List) []string {
+	out := make([]string, list.Len())
+	for i := range out {
+		out[i] = valueText(f, list.Get(i))
+	}
+	return out
+}
+
+func fieldText(f protoreflect.FieldDescriptor, m protoreflect.Message) string {
+	if !m.Has(f) && f.Message() != nil {
+		return ""
+	}
+	return valueText(f, m.Get(f))
+}
+
+func valueText(f protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	if f.Message() != nil {
+		if d, ok := v.Message().Interface().(*durationpb.Duration); ok {
+			return d.AsDuration().String()
+		}
+		return messageText(v.Message())
+	}
+	if f.Kind() == protoreflect.BytesKind {
+		return hex.EncodeToString(v.Bytes())
+	}
+	if f.Kind() == protoreflect.StringKind {
+		return fmt.Sprintf("%q", v.String())
+	}
+	return v.String()
+}
+
+// messageText returns a message as compact JSON. protojson varies its spaces, so they are taken out.
+func messageText(m protoreflect.Message) string {
+	text, err := protojson.Marshal(m.Interface())
+	if err != nil {
+		return err.Error()
+	}
+	var out bytes.Buffer
+	if err := json.Compact(&out, text); err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
--- /dev/null
+++ b/bundle/fleet_test.go
@@ -0,0 +1,326 @@
+package bundle
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"pumiceshelf/api"
+	"pumiceshelf/instance"
+	"pumiceshelf/internal/standin"
+	"pumiceshelf/peer"
+)
+
+// operator is a test operator with its key.
+type operator struct {
+	id  string
+	key ed25519.PrivateKey
+}
+
+func testOperator(id string) operator {
+	seed := sha256.Sum256([]byte(id))
+	return operator{id: id, key: ed25519.NewKeyFromSeed(seed[:])}
+}
+
+func (o operator) public() *api.OperatorKey {
+	return &api.OperatorKey{Id: o.id, PublicKey: o.key.Public().(ed25519.PublicKey)}
+}
+
+func publics(list ...operator) []*api.OperatorKey {
+	var out []*api.OperatorKey
+	for _, o := range list {
+		out = append(out, o.public())
+	}
+	return out
+}
+
+var ana, badr, carla = testOperator("ana"), testOperator("badr"), testOperator("carla")
+
+// testBundle returns a valid bundle of some customers with some budgets each.
+func testBundle(number uint64, customers, budgetsEach int) *api.Bundle {
+	b := &api.Bundle{
+		Number:          number,
+		Operators:       publics(ana, badr),
+		Threshold:       2,
+		Models:          []*api.Model{{Id: "agronomy", DefaultCapTokens: 512, MaxCapTokens: 4096}},
+		Services:        []*api.Service{{Id: "plans", PathPrefix: "/plans/", Timeout: durationpb.New(time.Second)}},
+		ConcurrentLoads: 2,
+		Endpoints: []*api.Endpoint{
+			{Id: "engine-1", Domain: "d1", Url: "http://192.0.2.1:8000", Models: []string{"agronomy"}},
+			{Id: "plans-1", Domain: "d1", Url: "http://192.0.2.2:8000", Service: "plans"},
+		},
+	}
+	for i := range customers {
+		b.Customers = append(b.Customers, testCustomer(fmt.Sprintf("customer-%04d", i), budgetsEach))
+	}
+	return b
+}
+
+func testCustomer(id string, budgets int) *api.Customer {
+	key := HashKey("key of " + id)
+	c := &api.Customer{Id: id, KeyHashes: [][]byte{key[:]}, Weight: 1}
+	for i := range budgets {
+		c.Budgets = append(c.Budgets, &api.Budget{
+			Id:     fmt.Sprintf("budget-%d", i),
+			Grants: []*api.Grant{{Id: "first", Tokens: 1_000_000}},
+			Models: []string{"agronomy"},
+		})
+	}
+	return c
+}
+
+// signedNext splits a bundle and signs it to follow what the store's pointer names.
+func signedNext(store *standin.Link, b *api.Bundle, operators ...operator) (*api.SignedManifest, [][]byte) {
+	ctx := context.Background()
+	p, err := ReadPointer(ctx, store)
+	if err != nil {
+		panic(err)
+	}
+	approvers, err := ReadApprovers(ctx, store, p)
+	if err != nil {
+		panic(err)
+	}
+	m, parts := Split(b)
+	Follow(m, p, approvers)
+	signed := &api.SignedManifest{Manifest: encode(m)}
+	for _, o := range operators {
+		AddSignature(signed, o.id, o.key)
+	}
+	return signed, parts
+}
+
+// mustRoll rolls a bundle signed by ana and badr.
+func mustRoll(t testing.TB, objects *standin.Objects, b *api.Bundle) *api.SignedManifest {
+	store := objects.Link("operator")
+	signed, parts := signedNext(store, b, ana, badr)
+	if err := Roll(context.Background(), store, signed, parts); err != nil {
+		t.Fatal(err)
+	}
+	return signed
+}
+
+var errCut = errors.New("link cut")
+
+// testFleet runs holders in one process. Links between them, and to the platform, can be cut.
+type testFleet struct {
+	t       testing.TB
+	objects *standin.Objects
+	clock   clockwork.Clock
+	mu      sync.Mutex
+	nodes   []*node
+	// cut is asked with two names of instances; the platform is named "platform".
+	cut func(a, b string) bool
+}
+
+// node is one instance of a test fleet. It is its own view and its own connections.
+type node struct {
+	fleet   *testFleet
+	self    *api.Instance
+	holder  *Holder
+	metrics metrics.Registry
+	mux     *drpcmux.Mux
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+var (
+	_ peer.View  = (*node)(nil)
+	_ peer.Conns = (*node)(nil)
+)
+
+func newFleet(t testing.TB, clock clockwork.Clock) *testFleet {
+	f := &testFleet{t: t, objects: standin.NewObjects(), clock: clock, cut: func(a, b string) bool { return false }}
+	f.applyCuts()
+	return f
+}
+
+func (f *testFleet) applyCuts() {
+	f.objects.SetFaults(standin.Faults{Cut: func(caller string) bool { return f.isCut(caller, "platform") }})
+}
+
+// setCut replaces the cuts in force.
+func (f *testFleet) setCut(cut func(a, b string) bool) {
+	f.mu.Lock()
+	f.cut = cut
+	f.mu.Unlock()
+	f.applyCuts()
+}
+
+func (f *testFleet) isCut(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut(a, b) || f.cut(b, a)
+}
+
+// add starts an instance in a domain.
+func (f *testFleet) add(domain, name string) *node {
+	n := f.prepare(domain, name)
+	n.run()
+	return n
+}
+
+// prepare makes an instance that does not run yet.
+func (f *testFleet) prepare(domain, name string) *node {
+	n := &node{
+		fleet:   f,
+		self:    &api.Instance{Name: name, Domain: domain, Incarnation: string(instance.NewIncarnation(name))},
+		metrics: metrics.NewRegistry(),
+		mux:     drpcmux.New(),
+		done:    make(chan struct{}),
+	}
+	n.holder = New(Config{
+		Settings:       &api.BundleSettings{PollInterval: durationpb.New(30 * time.Second)},
+		FirstOperators: publics(ana, badr),
+		FirstThreshold: 2,
+		Self:           n.self,
+		Clock:          f.clock,
+		Log:            &log.Logger{Handler: discard.Default, Level: log.DebugLevel},
+		Metrics:        n.metrics,
+		Store:          f.objects.Link(name),
+		View:           n,
+		Conns:          n,
+	})
+	if err := n.holder.Register(n.mux); err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	return n
+}
+
+func (n *node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.holder.Run(ctx)
+	}()
+}
+
+// stop ends an instance; it is gone from every view.
+func (n *node) stop() {
+	if n.cancel != nil {
+		n.cancel()
+		<-n.done
+	}
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.fleet.nodes = slices.DeleteFunc(n.fleet.nodes, func(o *node) bool { return o == n })
+}
+
+func (f *testFleet) stopAll() {
+	for _, n := range f.list() {
+		n.stop()
+	}
+}
+
+func (f *testFleet) list() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+// Self implements peer.View.
+func (n *node) Self() *api.Instance { return n.self }
+
+// Members implements peer.View.
+func (n *node) Members() []peer.Member {
+	var out []peer.Member
+	for _, o := range n.fleet.list() {
+		out = append(out, peer.Member{
+			Instance:          o.self,
+			Live:              !n.fleet.isCut(n.self.Name, o.self.Name),
+			BundleNumber:      o.holder.Number(),
+			PlatformReachable: !o.holder.platformDown.Load(),
+		})
+	}
+	return out
+}
+
+// Live implements peer.View.
+func (n *node) Live(domain instance.Domain) []*api.Instance {
+	var out []*api.Instance
+	for _, m := range n.Members() {
+		if m.Live && m.Instance.Domain == string(domain) {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
+// Owner implements peer.View.
+func (n *node) Owner(topic string) *api.Instance { return n.Ranked(topic)[0] }
+
+// Ranked implements peer.View.
+func (n *node) Ranked(topic string) []*api.Instance {
+	out := n.Live(instance.Domain(n.self.Domain))
+	weight := func(i *api.Instance) uint64 { return xxhash.Sum64String(topic + i.Incarnation) }
+	slices.SortFunc(out, func(a, b *api.Instance) int {
+		if weight(a) < weight(b) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Changed implements peer.View.
+func (n *node) Changed() <-chan struct{} { return nil }
+
+// Conn implements peer.Conns.
+func (n *node) Conn(_ context.Context, i instance.Incarnation) (drpc.Conn, error) {
+	for _, o := range n.fleet.list() {
+		if o.self.Incarnation != string(i) {
+			continue
+		}
+		if n.fleet.isCut(n.self.Name, o.self.Name) {
+			return nil, errCut
+		}
+		return n.connTo(o), nil
+	}
+	return nil, peer.ErrNoMember
+}
+
+// connTo returns a connection for one call; calls on it are serial.
+func (n *node) connTo(o *node) drpc.Conn {
+	near, far := net.Pipe()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = drpcserver.New(o.mux).ServeOne(ctx, far) }()
+	conn := drpcconn.New(near)
+	n.fleet.t.Cleanup(func() {
+		cancel()
+		_ = conn.Close()
+	})
+	return conn
+}
+
+// eventually waits until ok holds.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/bundle/snapshot.go
+++ b/bundle/snapshot.go
@@ -23,6 +23,7 @@
 	Weight uint32
 	// Budgets in the order of the bundle.
 	Budgets []Budget
+	keys    []KeyHash
 }
 
 // Budget in force.
