Serve callers: one request from its first byte to its last

Cause: nothing took callers' requests. Change: package server authenticates by bearer token, checks and bounds model requests, asks gate, keeper and admitter in that order, runs the request at the admitted endpoint, relays the answer piece by piece and settles and records it before the last byte. Refusals are problem+json with outcome, reason and a jittered Retry-After, and go out at once. Calls under a service's prefix take the same way without a budget. Engines' answers to repeats are rebuilt in the form asked for.

--- a/endpoint/assemble.go
+++ b/endpoint/assemble.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 )
@@ -46,14 +47,15 @@
 	} `json:"choices"`
 }
 
-// assembler puts a whole answer together from the pieces of a stream.
-type assembler struct {
+// Assembler puts a whole answer together from the pieces of a stream.
+type Assembler struct {
 	out  assembled
 	text strings.Builder
 	end  string
 }
 
-func (b *assembler) add(p Piece) error {
+// Add takes the next piece.
+func (b *Assembler) Add(p Piece) error {
 	var part streamedPart
 	if err := json.Unmarshal(p.Data, &part); err != nil {
 		return errUnfit
@@ -77,7 +79,7 @@
 }
 
 // delta takes text; tool calls and the like are not assembled.
-func (b *assembler) delta(d map[string]json.RawMessage) error {
+func (b *Assembler) delta(d map[string]json.RawMessage) error {
 	for field, value := range d {
 		switch field {
 		case "role":
@@ -96,7 +98,11 @@
 	return nil
 }
 
-func (b *assembler) whole(requestID string) ([]byte, error) {
+// Size returns the bytes of text taken so far.
+func (b *Assembler) Size() int { return b.text.Len() }
+
+// Whole returns the answer.
+func (b *Assembler) Whole(requestID string) ([]byte, error) {
 	b.out.Object, b.out.RequestID = "chat.completion", requestID
 	b.out.Choices = []assembledChoice{{Message: assembledMessage{Role: "assistant", Content: b.text.String()}, FinishReason: b.end}}
 	return json.Marshal(b.out)
@@ -104,10 +110,10 @@
 
 // assemble obtains a whole answer that broke by streaming it from the engine.
 func (a *answer) assemble(ctx context.Context, reason Reason) Result {
-	var b assembler
+	var b Assembler
 	unfit := false
 	res := newStream(a, func(p Piece) error {
-		err := b.add(p)
+		err := b.Add(p)
 		unfit = unfit || err != nil
 		return err
 	}).pickUp(ctx, reason)
@@ -117,7 +123,7 @@
 	if res.Status != Complete {
 		return res
 	}
-	data, err := b.whole(a.call.RequestID)
+	data, err := b.Whole(a.call.RequestID)
 	if err != nil {
 		return Result{Status: Broken, Reason: ReasonMalformed}
 	}
@@ -125,3 +131,43 @@
 	res.Header = http.Header{"Content-Type": {"application/json"}}
 	return res
 }
+
+// splitEvent is an event of a streamed answer.
+type splitEvent struct {
+	ID        string          `json:"id"`
+	Object    string          `json:"object"`
+	Created   int64           `json:"created,omitempty"`
+	Model     string          `json:"model"`
+	RequestID string          `json:"request_id"`
+	Choices   []splitChoice   `json:"choices"`
+	Usage     json.RawMessage `json:"usage,omitempty"`
+}
+
+type splitChoice struct {
+	Index        int     `json:"index"`
+	Delta        any     `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Split turns a whole answer into the events that a streamed one has: text, end and usage.
+func Split(whole []byte) ([]Piece, error) {
+	var a assembled
+	if err := json.Unmarshal(whole, &a); err != nil {
+		return nil, fmt.Errorf("split answer: %w", err)
+	}
+	event := splitEvent{ID: a.ID, Object: "chat.completion.chunk", Created: a.Created, Model: a.Model, RequestID: a.RequestID}
+	var out []Piece
+	for _, c := range a.Choices {
+		event.Choices = []splitChoice{{Index: c.Index, Delta: c.Message}}
+		out = append(out, piece(event, false))
+		event.Choices = []splitChoice{{Index: c.Index, Delta: struct{}{}, FinishReason: &c.FinishReason}}
+		out = append(out, piece(event, false))
+	}
+	event.Choices, event.Usage = []splitChoice{}, a.Usage
+	return append(out, piece(event, true)), nil
+}
+
+func piece(e splitEvent, usage bool) Piece {
+	data, _ := json.Marshal(e)
+	return Piece{Data: data, Usage: usage}
+}
--- /dev/null
+++ b/server/job.go
@@ -0,0 +1,236 @@
+package server
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"pumiceshelf/bundle"
+	"pumiceshelf/claim"
+	"pumiceshelf/quota"
+)
+
+// job is one request on its way.
+type job struct {
+	server   *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	start    time.Time
+	id       string
+	snapshot *bundle.Snapshot
+	customer *bundle.Customer
+	control  control
+	deadline time.Time
+	body     []byte
+	held     int64
+	// chat is set for a model request, service for a call of a plain service.
+	chat    *chat
+	service *bundle.Service
+	// idempotent requests may run more than once.
+	idempotent bool
+	keyed      bool
+	key        claim.KeyHash
+	relay      *relay
+	// firstID is the id of the first run.
+	firstID string
+	// ran says that a run was dispatched and may have taken place.
+	ran   bool
+	runs  int
+	bill  *bill
+	avoid []string
+}
+
+func newJob(s *Server, w http.ResponseWriter, r *http.Request) *job {
+	return &job{server: s, w: w, r: r, start: s.cfg.Clock.Now(), id: uuid.NewString()}
+}
+
+// serve sees the request through.
+func (j *job) serve() {
+	defer j.releaseBody()
+	// The connection may carry the deadline of a request before.
+	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Time{})
+	if f := j.understand(); f != nil {
+		j.refuse(f)
+		return
+	}
+	if j.keyed && !j.begin() {
+		return
+	}
+	j.deliver(j.execute())
+}
+
+// understand authenticates, reads and checks the request.
+func (j *job) understand() *refusal {
+	j.snapshot = j.server.cfg.Bundles.Current()
+	hash, ok := bearer(j.r.Header)
+	if ok {
+		j.customer = j.snapshot.CustomerByKey(hash)
+	}
+	if j.customer == nil {
+		return refuse(ReasonUnauthenticated, "the Authorization header must carry a customer's bearer token")
+	}
+	c, f := parseControl(j.r.Header)
+	if f != nil {
+		return f
+	}
+	j.control = c
+	if f := j.target(); f != nil {
+		return f
+	}
+	if f := j.read(); f != nil {
+		return f
+	}
+	if j.service == nil {
+		if j.chat, f = parseChat(j.snapshot, j.body); f != nil {
+			return f
+		}
+	}
+	j.settleTerms()
+	return nil
+}
+
+// target finds what the path names.
+func (j *job) target() *refusal {
+	path := j.r.URL.Path
+	if path == chatPath {
+		if j.r.Method != http.MethodPost {
+			j.w.Header().Set("Allow", http.MethodPost)
+			return refuse(ReasonMethod, "model requests use POST")
+		}
+		return nil
+	}
+	for part := range strings.SplitSeq(path, "/") {
+		if part == ".." || part == "." {
+			return badField("path", "must not have . or .. in it")
+		}
+	}
+	if j.service = j.snapshot.ServiceFor(path); j.service == nil {
+		return refuse(ReasonNotFound, "no service of the bundle in force has a prefix of this path")
+	}
+	return nil
+}
+
+// read takes the body in, within its bounds of size and time.
+func (j *job) read() *refusal {
+	limit := int64(j.server.cfg.Settings.BodyLimitBytes)
+	if j.r.ContentLength > limit {
+		return j.tooLarge()
+	}
+	if !j.hold(max(j.r.ContentLength, 0)) {
+		return refuse(ReasonTooMany, "requests in progress hold as many bytes as they may")
+	}
+	_ = http.NewResponseController(j.w).SetReadDeadline(time.Now().Add(j.server.cfg.Settings.ReadTimeout.AsDuration()))
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return j.tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.w.Header().Set("Connection", "close")
+		return refuse(ReasonSlowBody, "the body did not arrive in time")
+	case err != nil:
+		return badField("body", "ended before its length")
+	}
+	if !j.hold(int64(len(body)) - max(j.r.ContentLength, 0)) {
+		return refuse(ReasonTooMany, "requests in progress hold as many bytes as they may")
+	}
+	_ = http.NewResponseController(j.w).SetReadDeadline(time.Time{})
+	j.body = body
+	return nil
+}
+
+func (j *job) tooLarge() *refusal {
+	j.w.Header().Set("Connection", "close")
+	return refuse(ReasonTooLarge, "the body is over the limit of this fleet")
+}
+
+// hold counts body bytes against the instance's bound.
+func (j *job) hold(n int64) bool {
+	j.held += n
+	total := j.server.bodyBytes.Add(n)
+	j.server.meters.bodyBytes.Update(total)
+	return total <= bodyShare*int64(j.server.cfg.Admission.QueueBytes)
+}
+
+func (j *job) releaseBody() {
+	j.server.meters.bodyBytes.Update(j.server.bodyBytes.Add(-j.held))
+}
+
+// settleTerms fixes deadline, idempotency and id.
+func (j *job) settleTerms() {
+	limit := j.server.cfg.Admission.DefaultDeadline.AsDuration()
+	if j.control.deadline > 0 {
+		limit = j.control.deadline
+	}
+	if j.service != nil && j.service.Timeout > 0 {
+		limit = min(limit, j.service.Timeout)
+	}
+	j.deadline = j.start.Add(limit)
+	j.idempotent = j.mayRepeat()
+	if j.control.key != "" {
+		j.keyed = true
+		j.key = claim.HashKey(j.customer.ID, j.control.key)
+		j.id = keyedID(j.key)
+		if j.idempotent {
+			// Each decision to run has an id of its own, so that each run is reserved and billed by itself.
+			j.id += "." + uuid.NewString()[:runSuffix]
+		}
+	}
+	j.firstID = j.id
+	j.relay = newRelay(j)
+}
+
+// mayRepeat says whether the request may run more than once. A caller may say so of a model request; of a call to a
+// plain service only the bundle may, and a caller may say the contrary.
+func (j *job) mayRepeat() bool {
+	said := j.control.idempotent
+	if j.service != nil {
+		return !j.service.NonIdempotent[j.r.Method] && (said == nil || *said)
+	}
+	if said != nil {
+		return *said
+	}
+	return !j.chat.model.NonIdempotent
+}
+
+// remaining is the time until the deadline.
+func (j *job) remaining() time.Duration { return max(j.deadline.Sub(j.server.cfg.Clock.Now()), 0) }
+
+// tell adds an event to the request's story.
+func (j *job) tell(text string) {
+	if j.server.cfg.Stories != nil {
+		customer := ""
+		if j.customer != nil {
+			customer = j.customer.ID
+		}
+		j.server.cfg.Stories.Add(j.id, customer, "server", text)
+	}
+}
+
+// refuse answers with a refusal.
+func (j *job) refuse(f *refusal) {
+	f.requestID = j.id
+	j.server.meters.refused[f.reason].Inc(1)
+	if f.unknown {
+		j.server.meters.unknown.Inc(1)
+	}
+	j.tell("refused: " + string(f.reason) + " " + f.detail)
+	j.server.cfg.Log.Debugf("server: %s refused, %s", j.id, f.reason)
+	if j.server.draining.Load() {
+		j.w.Header().Set("Connection", "close")
+	}
+	f.write(j.w)
+}
+
+// usageOf fills what a settlement needs to know of the request.
+func (j *job) usageOf(b *bill) quota.Usage {
+	return quota.Usage{
+		RequestID: b.request.RequestID, Budget: b.request.Budget, Model: b.request.Model,
+		Lease: b.reservation.Lease, Holder: b.reservation.Holder, Endpoint: b.endpoint,
+	}
+}
