Measure admission under overload; estimate waits by what higher classes leave

Cause: the expected wait of a class ignored what the classes above it would go on taking, so half of the refusals at three times the capacity came only after a wait of 26 s; batch work kept a deviation of demand free and lost 19% of the capacity beside interactive work. Change: the wait is the work ahead over the places that the averages of higher classes leave; batch leaves their average only; the upper service time is the mean and three deviations; a request that finds room goes by the mean.

--- a/admit/estimate.go
+++ b/admit/estimate.go
@@ -12,7 +12,7 @@
 	meanShift      = 3
 	deviationShift = 2
 	// deviations is how many mean deviations above the mean an upper estimate lies.
-	deviations = 2
+	deviations = 3
 	// sampleLifetime is how long a sample counts. A size that was refused for its estimate is tried again after it.
 	sampleLifetime = 30 * time.Second
 )
--- a/admit/group.go
+++ b/admit/group.go
@@ -13,8 +13,6 @@
 	turnsPerLower = 20
 	// demandTime is the time over which the demand of higher classes is averaged.
 	demandTime = 10 * time.Second
-	// headroomDeviations is how many standard deviations of the higher classes' demand stay free of batch work.
-	headroomDeviations = 1
 )
 
 // groupQueue holds the requests that wait for one model or service, and counts those dispatched.
@@ -24,8 +22,8 @@
 	inFlight [Classes]int
 	// passed counts dispatches of higher classes since the class, waiting, had its last turn.
 	passed [Classes]int
-	// demand is the average number of requests in flight above Batch, up to demandAt.
-	demand   float64
+	// demand is the average number of requests in flight, up to demandAt.
+	demand   [Classes]float64
 	demandAt time.Time
 	service  estimator
 	bytes    int
@@ -75,26 +73,36 @@
 }
 
 // batchMayGo says whether batch work leaves room for what the higher classes are expected to ask for while it runs:
-// their average demand and a deviation of it, as in square-root staffing.
+// their average demand, or what they have in flight if that is more.
 func (g *groupQueue) batchMayGo(now time.Time, places int) bool {
 	g.observeDemand(now)
 	higher := g.inFlight[Interactive] + g.inFlight[Standard]
-	if g.demand < 1 && higher == 0 {
+	expected := g.demandAbove(Batch)
+	if expected < 1 && higher == 0 {
 		return true
 	}
-	expected := g.demand + headroomDeviations*math.Sqrt(g.demand)
 	return float64(g.inFlight[Batch]+1)+max(expected, float64(higher)) <= float64(places)
 }
 
+// demandAbove returns the average number of requests in flight of the classes that go before one.
+func (g *groupQueue) demandAbove(class Class) float64 {
+	var sum float64
+	for c := range class {
+		sum += g.demand[c]
+	}
+	return sum
+}
+
 // observeDemand brings the average demand up to now.
 func (g *groupQueue) observeDemand(now time.Time) {
-	higher := float64(g.inFlight[Interactive] + g.inFlight[Standard])
 	if g.demandAt.IsZero() || !now.After(g.demandAt) {
 		g.demandAt = now
 		return
 	}
 	keep := math.Exp(-now.Sub(g.demandAt).Seconds() / demandTime.Seconds())
-	g.demand = g.demand*keep + higher*(1-keep)
+	for c := range g.demand {
+		g.demand[c] = g.demand[c]*keep + float64(g.inFlight[c])*(1-keep)
+	}
 	g.demandAt = now
 }
 
@@ -117,13 +125,16 @@
 	invariant.Check(g.inFlight[class] >= 0, "admit", "%d requests in flight in class %d", g.inFlight[class], class)
 }
 
-// waitFor returns the expected wait of a new request.
+// waitFor returns the expected wait of a new request: the work before it over the places that higher classes are
+// expected to leave to its class, at least those that its turns give it.
 func (g *groupQueue) waitFor(item Item, places int) time.Duration {
 	work := g.classes[item.Class].workBefore(item)
 	for c := Class(0); c < item.Class; c++ {
 		work += g.classes[c].work
 	}
-	return work / time.Duration(max(places, 1))
+	total := float64(max(places, 1))
+	left := max(total-g.demandAbove(item.Class), total/turnsPerLower)
+	return time.Duration(float64(work) / left)
 }
 
 // victim returns a waiting request that the new one may displace from its own class: one of the customer that holds
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -127,12 +127,13 @@
 	q.group(item.Group).dispatch(now, item.Class)
 }
 
-// hopeless says whether a request cannot meet its deadline even if it goes to an endpoint now.
+// hopeless says whether a request is not expected to meet its deadline even if it goes to an endpoint now. It goes by the
+// mean: a request that finds room takes nothing from others, so that only the likely outcome counts against it.
 func (q *queues) hopeless(now time.Time, item Item) bool {
 	if !now.Before(item.Deadline) {
 		return true
 	}
-	return now.Add(q.group(item.Group).service.upper(now, item.Cost)).After(item.Deadline)
+	return now.Add(q.group(item.Group).service.expected(now, item.Cost)).After(item.Deadline)
 }
 
 // mayPass says whether a request may go to an endpoint now without waiting.
@@ -185,14 +186,10 @@
 	return next
 }
 
-// drainTime returns the expected time until the requests of the group's class and above have been served.
+// drainTime returns how long the group's queue is expected to keep a new request waiting and running.
 func (q *queues) drainTime(now time.Time, item Item, places int) time.Duration {
 	g := q.group(item.Group)
-	work := g.service.expected(now, item.Cost)
-	for c := Class(0); c <= item.Class; c++ {
-		work += g.classes[c].work
-	}
-	return work / time.Duration(max(places, 1))
+	return g.waitFor(item, places) + g.service.expected(now, item.Cost)
 }
 
 func (q *queues) check(g *groupQueue, class Class) {
