--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -118,10 +118,8 @@
 	now := f.cfg.Clock.Now()
 	returned := f.table.heard(now, from, r)
 	m := f.table.members[instance.Incarnation(from.GetIncarnation())]
-	sender := from
 	if m != nil {
 		m.introduced = introduced
-		sender = m.instance
 	}
 	fresh := false
 	for _, u := range updates {
@@ -137,7 +135,7 @@
 		f.wake()
 	}
 	if m != nil {
-		f.cfg.OnReport(sender, r)
+		f.cfg.OnReport(m.instance, r)
 	}
 }
 
--- a/peer/table.go
+++ b/peer/table.go
@@ -208,9 +208,9 @@
 		silent := time.Duration(u.GetSilentMs()) * time.Millisecond
 		return t.suspect(now, instance.Incarnation(u.GetSuspected()), silent)
 	}
-	before := t.news.pushed
+	before := len(t.members)
 	t.add(u.GetInstance())
-	return t.news.pushed > before
+	return len(t.members) > before
 }
 
 // snapshot returns an immutable picture for readers.
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -144,6 +144,7 @@
 		return
 	}
 	s.health.succeeded()
+	s.pace.observe(r)
 	if s.limit.completed(first) {
 		b.meters.slowed.Inc(1)
 		b.config.Log.Debugf("route: limit of %s lowered to %d, first tokens are slow", s.id, s.limit.get())
--- a/route/choose.go
+++ b/route/choose.go
@@ -14,7 +14,7 @@
 	// loadBound is how far, in percent, the load of a prefix's home may lie above the least loaded of the sample.
 	loadBound = 125
 	// loadSlack is added to that bound, in requests.
-	loadSlack = 2
+	loadSlack = 4
 	// attempts bounds how often a choice starts over when others took the room that it saw.
 	attempts = 4
 	// golden is the odd constant of SplitMix64.
@@ -112,17 +112,20 @@
 func (c *chooser) affine(sd *side) (*state, kind, bool) {
 	best := c.sample(sd)
 	if best == nil {
-		return c.scan(sd)
+		var works bool
+		if best, _, works = c.scan(sd); best == nil {
+			return nil, 0, works
+		}
 	}
 	if c.target.Prefix == 0 {
 		return best, byLoad, true
 	}
-	bound := best.load(c.now, sd.sharers) * loadBound / 100
+	bound := best.load(c.now, sd) * loadBound / 100
 	for _, s := range c.homes(sd) {
 		if s == nil || !c.hasRoom(s, sd) {
 			continue
 		}
-		if s.load(c.now, sd.sharers) <= bound+loadSlack*1000/int64(s.limit.get()) {
+		if s.load(c.now, sd) <= bound+loadSlack*1000/int64(s.limit.get()) {
 			return s, byAffinity, true
 		}
 	}
@@ -157,7 +160,7 @@
 		if s == best || !c.eligible(s) || !c.hasRoom(s, sd) {
 			continue
 		}
-		if l := s.load(c.now, sd.sharers); best == nil || l < least {
+		if l := s.load(c.now, sd); best == nil || l < least {
 			best, least = s, l
 		}
 	}
@@ -179,7 +182,7 @@
 		if !c.hasRoom(s, sd) {
 			continue
 		}
-		if l := s.load(c.now, sd.sharers); best == nil || l < least {
+		if l := s.load(c.now, sd); best == nil || l < least {
 			best, least = s, l
 		}
 	}
--- a/route/poll.go
+++ b/route/poll.go
@@ -27,6 +27,9 @@
 	defer ticker.Stop()
 	for {
 		b.pollOnce(ctx)
+		for _, g := range b.table.Load().groups {
+			g.observePace()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/route/state.go
+++ b/route/state.go
@@ -29,6 +29,7 @@
 	// report is the last load report, nil before the first.
 	report atomic.Pointer[report]
 	limit  limiter
+	pace   pace
 	health health
 }
 
@@ -76,19 +77,19 @@
 
 // load returns the estimated requests at the endpoint over its limit, in thousandths: the last report corrected by this
 // instance's dispatches since. A report never lowers it below what this instance itself has in flight, and failures in
-// a row raise it, so that an endpoint that fails fast does not look idle. A recovering endpoint with nothing in flight
-// has none, so that a request tries it.
-func (s *state) load(now time.Time, sh sharers) int64 {
+// a row and a pace slower than the median raise it, so that an endpoint that fails fast or lies does not look idle. A
+// recovering endpoint with nothing in flight has none, so that a request tries it.
+func (s *state) load(now time.Time, sd *side) int64 {
 	own := s.inFlight.Load()
 	if own == 0 && s.health.recovering() {
 		return 0
 	}
-	estimate := own * int64(sh.count)
+	estimate := own * int64(sd.sharers.count)
 	if r := s.report.Load(); r.fresh(now) {
 		estimate = max(own, r.total+own-r.own)
 	}
 	penalty := 1 + s.health.failures.Load()
-	return (estimate + 1) * penalty * 1000 / int64(s.limit.get())
+	return (estimate + 1) * penalty * 10 * s.pace.slowness(sd.pace.Load()) / int64(s.limit.get())
 }
 
 // usable says whether the endpoint may be given new work.
@@ -112,6 +113,9 @@
 // give counts a request that has left the endpoint.
 func (s *state) give() int64 {
 	n := s.inFlight.Add(-1)
-	invariant.Check(n >= 0, "route", "%d requests in flight at %s", n, s.id)
+	if n < 0 {
+		// The arguments of a check that holds would be allocated for each request.
+		invariant.Check(false, "route", "%d requests in flight at %s", n, s.id)
+	}
 	return n
 }
--- a/route/table.go
+++ b/route/table.go
@@ -15,6 +15,8 @@
 	seeds   []uint64
 	own     bool
 	sharers sharers
+	// pace is the median of the endpoints', in nanoseconds.
+	pace atomic.Int64
 }
 
 func (s *side) add(e *state) {
@@ -59,6 +61,12 @@
 	return n
 }
 
+// observePace keeps the median paces of both sides.
+func (g *group) observePace() {
+	g.own.observePace()
+	g.away.observePace()
+}
+
 func (g *group) size() int { return len(g.own.states) + len(g.away.states) }
 
 // each calls f for each endpoint of the group.
@@ -131,8 +139,8 @@
 		return
 	}
 	g := &group{name: name}
-	g.own = side{own: true, sharers: f.inDomain}
-	g.away = side{sharers: f.inFleet}
+	g.own.own, g.own.sharers = true, f.inDomain
+	g.away.sharers = f.inFleet
 	for _, e := range snap.Group(name) {
 		s := t.states[e.ID]
 		if e.Domain == f.domain {
@@ -142,5 +150,6 @@
 		}
 		t.memberships[s] = append(t.memberships[s], g)
 	}
+	g.observePace()
 	t.groups[name] = g
 }
