--- a/cmd/pumicebench/main.go
+++ b/cmd/pumicebench/main.go
@@ -1,4 +1,159 @@
-// Command pumicebench runs experiments.
+// Command pumicebench runs the experiments behind the documents: a few real instances on loopback with faults.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"pumiceshelf/internal/bench"
+)
+
+type listCommand struct{}
+
+type runCommand struct {
+	Seed   uint64 `long:"seed" default:"1" description:"seed of the load and the faults"`
+	Policy string `long:"policy" description:"policy to run with; the first of the experiment's if absent"`
+	Args   struct {
+		Name string `positional-arg-name:"NAME" required:"true"`
+	} `positional-args:"true"`
+}
+
+type compareCommand struct {
+	Seeds  string `long:"seeds" default:"1..20" description:"first and last seed"`
+	Folder string `long:"plot" description:"folder for a PNG plot"`
+	Args   struct {
+		Name string `positional-arg-name:"NAME" required:"true"`
+	} `positional-args:"true"`
+}
+
+type soakCommand struct {
+	Minutes int    `long:"minutes" default:"1" description:"how long to go on"`
+	Seed    uint64 `long:"seed" default:"1" description:"first seed; each round takes the next"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("pumicebench", flags.Default)
+	must(parser.AddCommand("list", "List the experiments", "Prints each experiment with its policies.", &listCommand{}))
+	must(parser.AddCommand("run", "Run one experiment", "Prints one JSON object as the last line; fails if a promise broke.", &runCommand{}))
+	must(parser.AddCommand("compare", "Compare policies", "Runs every policy over the seeds; prints median/worst of each figure.", &compareCommand{}))
+	must(parser.AddCommand("soak", "Run two-faults on and on", "Runs rounds of random faults on both deployments and sums them up.", &soakCommand{}))
+	if _, err := parser.Parse(); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(1)
+	}
+}
+
+func must(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func signals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt)
+}
+
+func find(name string) (bench.Experiment, error) {
+	e, ok := bench.Find(name)
+	if !ok {
+		return e, fmt.Errorf("no experiment %q; pumicebench list names them", name)
+	}
+	return e, nil
+}
+
+// Execute implements flags.Commander.
+func (*listCommand) Execute([]string) error {
+	for _, e := range bench.All() {
+		fmt.Printf("%-18s %s\n", e.Name, e.Help)
+		if len(e.Policies) > 1 {
+			fmt.Printf("%-18s policies: %s\n", "", strings.Join(e.Policies, ", "))
+		}
+	}
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error {
+	e, err := find(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	policy := c.Policy
+	if policy == "" {
+		policy = e.Policies[0]
+	}
+	ctx, stop := signals()
+	defer stop()
+	r, err := bench.Do(ctx, e, c.Seed, policy)
+	if err != nil {
+		return err
+	}
+	fmt.Println(r.JSON())
+	return r.Err()
+}
+
+// Execute implements flags.Commander.
+func (c *compareCommand) Execute([]string) error {
+	e, err := find(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	first, last, err := seeds(c.Seeds)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	results, err := bench.Compare(ctx, e, first, last, os.Stdout, c.Folder)
+	for _, r := range results {
+		err = errors.Join(err, r.Err())
+	}
+	return err
+}
+
+// seeds reads a range such as 1..20.
+func seeds(text string) (first, last uint64, err error) {
+	a, b, ok := strings.Cut(text, "..")
+	first, err1 := strconv.ParseUint(a, 10, 64)
+	last, err2 := strconv.ParseUint(b, 10, 64)
+	if !ok || err1 != nil || err2 != nil || last < first {
+		return 0, 0, fmt.Errorf("--seeds is %q, must be FIRST..LAST", text)
+	}
+	return first, last, nil
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	ctx, stop := signals()
+	defer stop()
+	e, err := find("two-faults")
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(time.Duration(c.Minutes) * time.Minute)
+	rounds, requests := 0, 0
+	var broken error
+	for seed := c.Seed; time.Now().Before(end) && ctx.Err() == nil; seed++ {
+		r, err := bench.Do(ctx, e, seed, e.Policies[0])
+		if err != nil {
+			return err
+		}
+		rounds++
+		requests += r.Requests
+		broken = errors.Join(broken, r.Err())
+		fmt.Printf("seed %d: %d requests, %d false refusals, %d unknown, %d broken promises\n", seed, r.Requests, r.FalseRefusals, r.Unknown, len(r.Broken))
+	}
+	fmt.Printf("%d rounds with two faults each, %d requests\n", rounds, requests)
+	return broken
+}
--- a/cmd/pumiceshelf/main.go
+++ b/cmd/pumiceshelf/main.go
@@ -1,4 +1,110 @@
-// Command pumiceshelf is the router.
+// Command pumiceshelf is the router: one instance of the fleet, or a demo of the whole.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	logjson "github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/jessevdk/go-flags"
+
+	"pumiceshelf/api"
+	"pumiceshelf/internal/demo"
+	"pumiceshelf/node"
+	"pumiceshelf/settings"
+)
+
+type runCommand struct {
+	Settings string `long:"settings" required:"true" description:"file with the settings of the instance"`
+}
+
+type checkCommand struct {
+	Settings string `long:"settings" required:"true" description:"file with the settings to check"`
+}
+
+type demoCommand struct {
+	Serve bool `long:"serve" description:"stay up after the demo and print addresses, keys and a request to try"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("pumiceshelf", flags.Default)
+	must(parser.AddCommand("run", "Run one instance", "Runs one instance of the fleet until SIGTERM has drained it.", &runCommand{}))
+	must(parser.AddCommand("check", "Check a settings file", "Names each wrong field by its path, what it has and what it must be.", &checkCommand{}))
+	must(parser.AddCommand("demo", "Run everything in one process", "Starts stand-ins and six instances on loopback and sends them requests.", &demoCommand{}))
+	if _, err := parser.Parse(); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(1)
+	}
+}
+
+func must(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	if _, err := settings.Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return demo.Run(ctx, os.Stdout, c.Serve)
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(node.Config{Settings: s, Log: newLogger(s.Log), Seed: uint64(os.Getpid())})
+	if err != nil {
+		return err
+	}
+	return serve(n, s)
+}
+
+// serve runs the instance. The first SIGTERM or SIGINT drains it; the second stops it at once and says what is dropped.
+func serve(n *node.Node, s *api.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(context.Background()) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.Server.DrainTimeout.AsDuration())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return errors.Join(n.Shutdown(ctx), <-ended)
+}
+
+func newLogger(s *api.LogSettings) log.Interface {
+	logger := &log.Logger{Handler: text.New(os.Stderr), Level: log.MustParseLevel(s.Level)}
+	if s.Format == "json" {
+		logger.Handler = logjson.New(os.Stderr)
+	}
+	return logger
+}
--- /dev/null
+++ b/cmd/pumiceshelf/process_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/api"
+	"pumiceshelf/internal/fleet"
+)
+
+// daemonVariable makes the test binary run the daemon's main instead of the tests.
+const daemonVariable = "PUMICESHELF_TEST_DAEMON"
+
+// processLimit bounds each wait of these tests; no verdict depends on how long a step took.
+const processLimit = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// daemon is one instance in a process of its own.
+type daemon struct {
+	command *exec.Cmd
+	address string
+}
+
+func startDaemon(f *fleet.Fleet, folder, name, domain string, ports []string) (*daemon, error) {
+	file := filepath.Join(folder, name+".hujson")
+	if err := os.WriteFile(file, []byte(f.SettingsFile(name, domain, ports)), 0o600); err != nil {
+		return nil, err
+	}
+	c := exec.Command(os.Args[0], "run", "--settings", file)
+	c.Env = append(os.Environ(), daemonVariable+"=1")
+	stderr, err := c.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		lines := bufio.NewScanner(stderr)
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), "invariant") {
+				fmt.Fprintln(os.Stderr, name, lines.Text())
+			}
+		}
+	}()
+	return &daemon{command: c, address: ports[0]}, nil
+}
+
+// end waits for the process and returns its exit code.
+func (d *daemon) end() int {
+	d.command.Wait()
+	return d.command.ProcessState.ExitCode()
+}
+
+func (d *daemon) signal(s os.Signal) { d.command.Process.Signal(s) }
+
+// TestProcesses runs six instances as separate processes and kills, freezes and drains them under load.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	Convey("Given six instances as processes", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), processLimit)
+		Reset(cancel)
+		c := fleet.Deployment(fleet.AlWusta)
+		c.InstancesPerDomain = 0
+		c.Customers = []fleet.Customer{{ID: "farm", Tokens: 1_000_000}}
+		c.Engine.Step = 5 * time.Millisecond
+		f, err := fleet.Start(ctx, c)
+		So(err, ShouldBeNil)
+		Reset(f.Close)
+		daemons := startAll(t, f, c.Domains)
+		Reset(func() {
+			for _, d := range daemons {
+				d.signal(syscall.SIGKILL)
+				d.end()
+			}
+		})
+		caller := f.NewCaller()
+		for _, d := range daemons {
+			So(ready(ctx, caller, d.address), ShouldBeNil)
+		}
+		ask := func(key string) fleet.Ask {
+			return fleet.Ask{Customer: "farm", Model: fleet.DoseModel, Prompt: "Plot of " + key, Key: key, Deadline: 20 * time.Second}
+		}
+
+		Convey("a killed instance's request never runs twice, and its key is told unknown", func() {
+			lost := make(chan fleet.Reply, 1)
+			go func() { lost <- caller.Send(ctx, daemons[0].address, ask("killed")) }()
+			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of killed") == 1 }), ShouldBeNil)
+			daemons[0].signal(syscall.SIGKILL)
+			So((<-lost).Outcome, ShouldEqual, fleet.Broken)
+			again := caller.Send(ctx, daemons[3].address, ask("killed"))
+			So(again.Outcome, ShouldBeIn, fleet.Unknown, fleet.Answered)
+			So(f.RunsOf("Plot of killed"), ShouldEqual, 1)
+		})
+		Convey("a frozen instance's request never runs twice after it wakes", func() {
+			frozen := make(chan fleet.Reply, 1)
+			go func() { frozen <- caller.Send(ctx, daemons[1].address, ask("frozen")) }()
+			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of frozen") == 1 }), ShouldBeNil)
+			daemons[1].signal(syscall.SIGSTOP)
+			again := caller.Send(ctx, daemons[4].address, ask("frozen"))
+			daemons[1].signal(syscall.SIGCONT)
+			So(again.Outcome, ShouldBeIn, fleet.Unknown, fleet.Answered, fleet.NotRun)
+			first := <-frozen
+			So(first.Wrong, ShouldBeFalse)
+			So(f.RunsOf("Plot of frozen"), ShouldEqual, 1)
+		})
+		Convey("SIGTERM finishes what is in progress and exits with success", func() {
+			open := make(chan fleet.Reply, 1)
+			go func() { open <- caller.Send(ctx, daemons[2].address, ask("drained")) }()
+			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of drained") == 1 }), ShouldBeNil)
+			daemons[2].signal(syscall.SIGTERM)
+			reply := <-open
+			So(reply.Outcome, ShouldEqual, fleet.Answered)
+			So(reply.Partial, ShouldBeFalse)
+			So(daemons[2].end(), ShouldEqual, 0)
+		})
+	})
+}
+
+func startAll(t *testing.T, f *fleet.Fleet, domains []string) []*daemon {
+	folder := t.TempDir()
+	var daemons []*daemon
+	var list []*api.Instance
+	for _, domain := range domains {
+		for i := range 2 {
+			name := fmt.Sprintf("%s-%d", domain, i+1)
+			ports, err := fleet.FreePorts(3)
+			So(err, ShouldBeNil)
+			d, err := startDaemon(f, folder, name, domain, ports)
+			So(err, ShouldBeNil)
+			daemons = append(daemons, d)
+			list = append(list, &api.Instance{Name: name, Domain: domain, Region: "region-1", PeerAddress: ports[1], AdminAddress: ports[2]})
+		}
+	}
+	f.Objects.SetInstances(&api.InstanceList{Instances: list})
+	return daemons
+}
+
+// ready waits until an instance answers a request.
+func ready(ctx context.Context, caller *fleet.Caller, address string) error {
+	return fleet.Until(ctx, func() bool {
+		r := caller.Send(ctx, address, fleet.Ask{Customer: "farm", Model: fleet.DoseModel, Prompt: "ready?"})
+		return r.Outcome == fleet.Answered
+	})
+}
--- a/idempotency/gate.go
+++ b/idempotency/gate.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"pumiceshelf/api"
 	"pumiceshelf/claim"
 )
 
@@ -20,9 +21,11 @@
 	Recorded
 	// Mismatch means that the key was used with another body.
 	Mismatch
-	// UnknownOutcome means that a request with this key may have run; it is never run again.
+	// UnknownOutcome means that a request with this key may have run; one that ran is never run again.
+	// With RetryAfter set the outcome may become known: the caller may ask again with the same key.
 	UnknownOutcome
-	// Unavailable means that the claim could not be made durable; nothing ran under this call.
+	// Unavailable means that the claim could not be made durable; nothing ran under this call, nor, by the caller's
+	// statement, under an earlier one. A caller that made no such statement gets UnknownOutcome instead.
 	Unavailable
 )
 
@@ -33,9 +36,14 @@
 	RequestID string
 	// Idempotent requests may be repeated; they need no durable claim.
 	Idempotent bool
+	// Form, Issued and KeyTime are what claim.ParseKey found in the key. An opaque key leaves them zero.
+	Form    claim.Form
+	Issued  *api.IssuedKey
+	KeyTime time.Time
 	// FirstAttempt is the caller's statement that it has not sent this key before.
 	FirstAttempt bool
-	// Wait is the longest time the caller can wait for a decision or for a request that it joins.
+	// Wait is the longest time the caller can wait for a decision or for a request that it joins; zero for the
+	// settings' claim wait.
 	Wait time.Duration
 }
 
--- /dev/null
+++ b/internal/bench/bills.go
@@ -0,0 +1,144 @@
+package bench
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"pumiceshelf/api"
+	"pumiceshelf/internal/fleet"
+	"pumiceshelf/internal/standin"
+	"pumiceshelf/quota"
+)
+
+const (
+	usagePrefix = "usage/"
+	listPage    = 1000
+)
+
+// bills is what the platform's objects say of budgets, read without the fleet's own code for reports.
+type bills struct {
+	// records by request id.
+	records  map[string][]*api.UsageRecord
+	unbilled int
+	doubled  int
+	over     uint64
+	parked   uint64
+}
+
+// assessBills compares the records and ledgers with the engines' logs, once the records had time to become durable.
+func (r *Run) assessBills(ctx context.Context, runs map[string][]standin.Run) {
+	settled, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	var b bills
+	fleet.Until(settled, func() bool {
+		b = r.readBills(ctx, runs)
+		return b.unbilled == 0 && b.doubled == 0 && b.parked == 0
+	})
+	r.Result.Unbilled = b.unbilled
+	r.Result.DoubleBills = b.doubled
+	r.Result.OverspendTokens = b.over
+	r.Result.ParkedTokens = b.parked
+}
+
+func (r *Run) readBills(ctx context.Context, runs map[string][]standin.Run) bills {
+	b := bills{records: r.readRecords(ctx)}
+	refunded := uint64(0)
+	for _, c := range customers {
+		l := r.readLedger(ctx, c)
+		if l == nil {
+			continue
+		}
+		spent := l.ClosedSpend - l.Refunded
+		for _, lease := range l.Leases {
+			spent += lease.Settled
+		}
+		refunded += l.Refunded
+		b.parked += r.parked(l)
+		if spent > l.Granted {
+			b.over += spent - l.Granted
+		}
+	}
+	b.countDoubles(refunded)
+	for _, list := range runs {
+		for _, run := range list {
+			if len(b.records[run.RequestID]) == 0 {
+				b.unbilled++
+			}
+		}
+	}
+	return b
+}
+
+// countDoubles counts the requests billed more than once, unless all that was billed too much is refunded.
+func (b *bills) countDoubles(refunded uint64) {
+	surplus := uint64(0)
+	for _, list := range b.records {
+		if len(list) < 2 {
+			continue
+		}
+		b.doubled++
+		total, most := uint64(0), uint64(0)
+		for _, record := range list {
+			tokens := record.PromptTokens + record.GeneratedTokens
+			total += tokens
+			most = max(most, tokens)
+		}
+		surplus += total - most
+	}
+	if surplus <= refunded {
+		b.doubled = 0
+	}
+}
+
+// parked returns the tokens of a budget that no live instance can spend.
+func (r *Run) parked(l *api.BudgetLedger) uint64 {
+	live := make(map[string]bool)
+	for _, m := range r.Fleet.Members() {
+		live[m.Node.Self().Incarnation] = true
+	}
+	sum := l.Unresolved
+	for _, lease := range l.Leases {
+		switch {
+		case lease.Closed:
+			sum += lease.Bound - lease.Settled
+		case !live[lease.Holder]:
+			sum += lease.Taken - lease.Settled
+		}
+	}
+	return sum
+}
+
+func (r *Run) readRecords(ctx context.Context) map[string][]*api.UsageRecord {
+	out := make(map[string][]*api.UsageRecord)
+	after := ""
+	for {
+		page, err := r.Fleet.Store().List(ctx, usagePrefix, after, listPage)
+		if err != nil || len(page) == 0 {
+			return out
+		}
+		for _, obj := range page {
+			after = obj.Key
+			s := &api.UsageSegment{}
+			if proto.Unmarshal(obj.Value, s) != nil {
+				r.broke("a usage segment does not decode: " + obj.Key)
+			}
+			for _, record := range s.Records {
+				out[record.RequestId] = append(out[record.RequestId], record)
+			}
+		}
+	}
+}
+
+func (r *Run) readLedger(ctx context.Context, customer string) *api.BudgetLedger {
+	obj, err := r.Fleet.Store().Get(ctx, quota.LedgerPrefix+customer)
+	if err != nil {
+		return nil
+	}
+	l := &api.CustomerLedger{}
+	if proto.Unmarshal(obj.Value, l) != nil || len(l.Budgets) != 1 {
+		r.broke("the ledger does not decode: " + customer)
+		return nil
+	}
+	return l.Budgets[0]
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,74 @@
+// Package bench runs the experiments of pumicebench: a few real instances on loopback, load, faults and a judgement by the
+// stand-ins' own logs.
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Result of an experiment. Every field is printed always.
+type Result struct {
+	Experiment        string  `json:"experiment"`
+	Seed              uint64  `json:"seed"`
+	Policy            string  `json:"policy"`
+	Requests          int     `json:"requests"`
+	Answered          int     `json:"answered"`
+	NotRun            int     `json:"not_run"`
+	Unknown           int     `json:"unknown"`
+	FalseRefusals     int     `json:"false_refusals"`
+	OverspendTokens   uint64  `json:"overspend_tokens"`
+	DoubleRuns        int     `json:"double_runs"`
+	DoubleBills       int     `json:"double_bills"`
+	Unbilled          int     `json:"unbilled"`
+	WrongAnswers      int     `json:"wrong_answers"`
+	PartialAnswers    int     `json:"partial_answers"`
+	NotRunButRan      int     `json:"not_run_but_ran"`
+	ParkedTokens      uint64  `json:"parked_tokens"`
+	PlatformCallsPerS float64 `json:"platform_calls_per_s"`
+	P50Ms             float64 `json:"p50_ms"`
+	P99Ms             float64 `json:"p99_ms"`
+	// Extra holds the experiment's own figures; Broken the promises of the experiment's own that did not hold.
+	Extra  map[string]float64 `json:"extra"`
+	Broken []string           `json:"broken"`
+	// Refusals counts refusals by reason.
+	Refusals map[string]int `json:"refusals"`
+}
+
+// judge adds the promises that the common figures break.
+func (r *Result) judge() {
+	for _, p := range []struct {
+		broken bool
+		text   string
+	}{
+		{r.OverspendTokens > 0, "a budget was overspent"},
+		{r.DoubleRuns > 0, "a non-idempotent request ran twice"},
+		{r.DoubleBills > 0, "a request was billed twice"},
+		{r.Unbilled > 0, "a request that ran was not billed"},
+		{r.WrongAnswers > 0, "a caller got another request's answer"},
+		{r.PartialAnswers > 0, "a partial answer was passed as whole"},
+		{r.NotRunButRan > 0, "a request told not run did run"},
+	} {
+		if p.broken {
+			r.Broken = append(r.Broken, p.text)
+		}
+	}
+}
+
+// Err returns an error that names the broken promises, or nil.
+func (r *Result) Err() error {
+	if len(r.Broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("bench: %s seed %d: %s", r.Experiment, r.Seed, strings.Join(r.Broken, "; "))
+}
+
+// JSON returns the result on one line.
+func (r *Result) JSON() string {
+	out, err := json.Marshal(r)
+	if err != nil {
+		return err.Error()
+	}
+	return string(out)
+}
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -105,3 +105,21 @@
 	e.settle()
 	return true
 }
+
+// LoadedModel is what an engine says of one model.
+type LoadedModel struct {
+	ID, Version string
+	Loaded      bool
+}
+
+// Models returns the models that the engine has or is loading.
+func (e *Engine) Models() []LoadedModel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	var out []LoadedModel
+	for _, m := range e.state.Models {
+		out = append(out, LoadedModel{ID: m.ID, Version: m.Version, Loaded: m.State == stateLoaded})
+	}
+	return out
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,66 @@
+// Package node assembles one instance of the fleet from its parts and runs it.
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"pumiceshelf/api"
+	"pumiceshelf/idempotency"
+	"pumiceshelf/platform"
+	"pumiceshelf/quota"
+)
+
+// DialFunc opens a connection to an instance, an endpoint or the platform.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ListenFunc opens a listener.
+type ListenFunc func(network, address string) (net.Listener, error)
+
+// Policies choose between the ways that docs/design weighs. Zero values choose the defaults.
+type Policies struct {
+	Budget quota.Policy
+	Claim  idempotency.Policy
+	Route  string
+}
+
+// Config configures a Node. Settings must have passed settings.Check.
+type Config struct {
+	Settings *api.Settings
+	Policies Policies
+	// Seed of the choices made at random.
+	Seed uint64
+	Log  log.Interface
+	// Metrics, Clock, Dial, Listen, Store and Lister have defaults; tests and experiments replace them to inject faults.
+	Metrics metrics.Registry
+	Clock   clockwork.Clock
+	Dial    DialFunc
+	Listen  ListenFunc
+	Store   platform.Store
+	Lister  platform.InstanceLister
+}
+
+// complete fills in the defaults.
+func (c *Config) complete() {
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Clock == nil {
+		c.Clock = clockwork.NewRealClock()
+	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
+	if c.Listen == nil {
+		c.Listen = net.Listen
+	}
+	if c.Store == nil {
+		client := newPlatformHTTP(c)
+		c.Store = client
+		c.Lister = client
+	}
+}
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -118,8 +118,10 @@
 	now := f.cfg.Clock.Now()
 	returned := f.table.heard(now, from, r)
 	m := f.table.members[instance.Incarnation(from.GetIncarnation())]
+	sender := from
 	if m != nil {
 		m.introduced = introduced
+		sender = m.instance
 	}
 	fresh := false
 	for _, u := range updates {
@@ -135,7 +137,7 @@
 		f.wake()
 	}
 	if m != nil {
-		f.cfg.OnReport(m.instance, r)
+		f.cfg.OnReport(sender, r)
 	}
 }
 
--- a/peer/news.go
+++ b/peer/news.go
@@ -18,6 +18,8 @@
 // newsQueue holds updates to pass on with heartbeats, each a bounded number of times.
 type newsQueue struct {
 	items []newsItem
+	// pushed counts the updates ever added.
+	pushed uint64
 }
 
 type newsItem struct {
@@ -27,6 +29,7 @@
 
 // push adds an update for a fleet of the given size. The oldest is dropped when the queue is full.
 func (q *newsQueue) push(u *api.MemberUpdate, size int) {
+	q.pushed++
 	if len(q.items) == newsLimit {
 		q.items = q.items[1:]
 	}
--- a/peer/table.go
+++ b/peer/table.go
@@ -208,9 +208,9 @@
 		silent := time.Duration(u.GetSilentMs()) * time.Millisecond
 		return t.suspect(now, instance.Incarnation(u.GetSuspected()), silent)
 	}
-	before := len(t.members)
+	before := t.news.pushed
 	t.add(u.GetInstance())
-	return len(t.members) > before
+	return t.news.pushed > before
 }
 
 // snapshot returns an immutable picture for readers.
--- a/peer/view.go
+++ b/peer/view.go
@@ -62,3 +62,19 @@
 	_, _ = d.WriteString(inst.GetIncarnation())
 	return d.Sum64()
 }
+
+// First returns the live, not leaving instance of the whole fleet that comes first by rendezvous hash for a topic,
+// or nil if there is none.
+func First(v View, topic string) *api.Instance {
+	var best *api.Instance
+	var bestWeight uint64
+	for _, m := range v.Members() {
+		if !m.Live || m.Instance.GetLeaving() {
+			continue
+		}
+		if w := weight(topic, m.Instance); best == nil || w > bestWeight {
+			best, bestWeight = m.Instance, w
+		}
+	}
+	return best
+}
