Tell a full endpoint and a cut request from a failed one

Cause: an endpoint that answered that it had no room counted as failing, so that overload halved its limit and ejected it; a request that its caller or deadline ended was taken for a whole answer; the time of answers that come as a whole was compared with first tokens of streams, so that a change of the mix cut limits. Change: admit.Result says Busy and Cut; a full endpoint loses a tenth of its limit and no rotation; only streams' first tokens are compared; a cut request counts as a service time when it took longer than the mean. Conclusion: overload no longer ejects endpoints.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -78,6 +78,10 @@
 	Failed bool
 	// Silent says that the endpoint's connection made no progress.
 	Silent bool
+	// Busy says that the endpoint had no room and did not run the request; that is no failure.
+	Busy bool
+	// Cut says that the request ended at its deadline or with its caller, so that its durations say nothing of the endpoint.
+	Cut bool
 	// FirstToken and Total are durations since dispatch; zero if never reached.
 	FirstToken time.Duration
 	Total      time.Duration
--- a/admit/outcome.go
+++ b/admit/outcome.go
@@ -1,5 +1,8 @@
 package admit
 
+// Whole says whether the endpoint gave its whole answer.
+func (r Result) Whole() bool { return !r.Failed && !r.Silent && !r.Busy && !r.Cut }
+
 // String names the outcome as logs, stories and counters do.
 func (o Outcome) String() string {
 	switch o {
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -149,7 +149,8 @@
 func (q *queues) finish(now time.Time, item Item, r Result) {
 	g := q.groups[item.Group]
 	g.finish(now, item.Class)
-	if !r.Failed && !r.Silent && r.Total > 0 {
+	// A request that was cut would have taken longer; it counts when that says more than the mean.
+	if (r.Whole() && r.Total > 0) || (r.Cut && r.Total > g.service.expected(now, item.Cost)) {
 		g.service.observe(now, item.Cost, r.Total)
 	}
 }
--- a/admit/shell_test.go
+++ b/admit/shell_test.go
@@ -79,6 +79,13 @@
 			short.Deadline = clock.Now().Add(5 * time.Second)
 			So(answered(admitAll(c, short)[0]), ShouldEqual, Admitted)
 		})
+		Convey("a request that was cut counts only when it took longer than is expected", func() {
+			first.Done(Result{Total: 2 * time.Second})
+			for _, r := range []Result{{Cut: true, Total: time.Second}, {Failed: true, Total: time.Hour}, {Cut: true, Total: 10 * time.Second}} {
+				(<-admitAll(c, item("x", Standard, far))[0]).Done(r)
+			}
+			So(c.queues.group("g").service.expected(clock.Now(), 1), ShouldEqual, 3*time.Second)
+		})
 		Convey("no endpoint means no capacity, for those who wait too", func() {
 			chs := admitAll(c, item("x", Standard, far))
 			s.gone = true
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -132,20 +132,21 @@
 
 // learn takes in the result of a request.
 func (b *Balancer) learn(s *state, r admit.Result) {
-	if r.Failed || r.Silent {
+	switch {
+	case r.Busy:
+		b.meters.full.Inc(1)
+		s.limit.full()
+	case r.Failed, r.Silent:
 		b.fail(s, r.Silent)
-		return
-	}
-	first := r.FirstToken
-	if first == 0 {
-		first = r.Total
-	}
-	if first == 0 {
-		return
+	case r.Whole() && r.Total > 0:
+		b.succeed(s, r)
 	}
+}
+
+func (b *Balancer) succeed(s *state, r admit.Result) {
 	s.health.succeeded()
 	s.pace.observe(r)
-	if s.limit.completed(first) {
+	if s.limit.completed(firstToken(r)) {
 		b.meters.slowed.Inc(1)
 		b.config.Log.Debugf("route: limit of %s lowered to %d, first tokens are slow", s.id, s.limit.get())
 	}
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -156,6 +156,40 @@
 		})
 	})
 
+	Convey("Endpoints that have no room are not ejected, but get less", t, func() {
+		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
+		for range 50 {
+			if p, a := f.acquire(admit.Target{}); a == admit.Chosen {
+				f.balancer.Release(p, admit.Result{Busy: true})
+			}
+		}
+		for _, s := range f.balancer.Status() {
+			So(s.Ejected, ShouldBeFalse)
+			So(s.Limit, ShouldBeLessThan, 8)
+		}
+		So(f.balancer.meters.full.Count(), ShouldEqual, 50)
+	})
+
+	Convey("Answers as a whole beside streams do not look like an endpoint that turned slow", t, func() {
+		f := newFixture(testBundle(1, 1, 8, "a"), instances(1, "a"), 0, "")
+		for i := range 400 {
+			p, _ := f.acquire(admit.Target{})
+			r := admit.Result{FirstToken: 50 * time.Millisecond, Total: 5 * time.Second, Tokens: 600}
+			if i >= 200 {
+				r.FirstToken = r.Total
+			}
+			f.balancer.Release(p, r)
+		}
+		So(f.status("a-e0").Limit, ShouldEqual, 8)
+		Convey("but late first tokens do", func() {
+			for range 20 {
+				p, _ := f.acquire(admit.Target{})
+				f.balancer.Release(p, admit.Result{FirstToken: time.Second, Total: 5 * time.Second, Tokens: 600})
+			}
+			So(f.status("a-e0").Limit, ShouldBeLessThan, 8)
+		})
+	})
+
 	Convey("A recovering endpoint is not tried with a request that may not be repeated", t, func() {
 		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
 		s := f.balancer.table.Load().states["a-e0"]
--- a/route/limiter.go
+++ b/route/limiter.go
@@ -17,7 +17,7 @@
 	tolerance = 2.0
 	// slack is added to the tolerated time, so that short times do not count as slow for their noise.
 	slack = 20 * time.Millisecond
-	// slowFactor and failFactor lower the limit of an endpoint that turned slow or failed.
+	// slowFactor and failFactor lower the limit of an endpoint that turned slow or full, or failed.
 	slowFactor = 0.9
 	failFactor = 0.5
 	// samplesPerCut is how many completions lie at least between two cuts for slowness.
@@ -91,6 +91,14 @@
 	l.publish()
 }
 
+// full lowers the limit after the endpoint answered that it has no room.
+func (l *limiter) full() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit *= slowFactor
+	l.publish()
+}
+
 // restart sets the limit to one, for an endpoint that comes back into rotation.
 func (l *limiter) restart() {
 	l.mu.Lock()
@@ -100,7 +108,8 @@
 	l.publish()
 }
 
-// completed takes in the time to the first token of a whole answer. It returns true when it lowered the limit.
+// completed takes in the time to the first token of a whole answer, zero if not known. It returns true when it lowered
+// the limit.
 func (l *limiter) completed(first time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/route/metrics.go
+++ b/route/metrics.go
@@ -18,6 +18,7 @@
 	descWithheld = telemetry.Describe("route.ejections_withheld", "ejections",
 		"Ejections left out because they would have taken most of a group.")
 	descReturned = telemetry.Describe("route.returns", "endpoints", "Ejected endpoints that came back into rotation.")
+	descFull     = telemetry.Describe("route.limit_cuts_full", "cuts", "Limits lowered because the endpoint had no room.")
 	descSlowed   = telemetry.Describe("route.limit_cuts", "cuts", "Limits lowered because first tokens took long.")
 	descPolls    = telemetry.Describe("route.polls", "calls", "Load reports fetched from endpoints.")
 	descPollFail = telemetry.Describe("route.polls_failed", "calls", "Load reports that could not be fetched.")
@@ -31,7 +32,8 @@
 	chosen                        [bySpill + 1]metrics.Counter
 	busy, gone, failures, silent  metrics.Counter
 	ejected, withheld, returned   metrics.Counter
-	slowed, polls, pollsFailed    metrics.Counter
+	slowed, full                  metrics.Counter
+	polls, pollsFailed            metrics.Counter
 	leavingNow, outNow, endpoints metrics.Gauge
 }
 
@@ -39,7 +41,7 @@
 	m := &meters{
 		busy: descBusy.Counter(r), gone: descGone.Counter(r), failures: descFailure.Counter(r), silent: descSilent.Counter(r),
 		ejected: descEjected.Counter(r), withheld: descWithheld.Counter(r), returned: descReturned.Counter(r),
-		slowed: descSlowed.Counter(r), polls: descPolls.Counter(r), pollsFailed: descPollFail.Counter(r),
+		slowed: descSlowed.Counter(r), full: descFull.Counter(r), polls: descPolls.Counter(r), pollsFailed: descPollFail.Counter(r),
 		leavingNow: descLeaving.Gauge(r), outNow: descOut.Gauge(r), endpoints: descKnown.Gauge(r),
 	}
 	m.chosen[byAffinity] = descAffinity.Counter(r)
--- a/route/pace.go
+++ b/route/pace.go
@@ -23,18 +23,24 @@
 
 // observe takes in a whole answer. Updates that race may lose a sample.
 func (p *pace) observe(r admit.Result) {
-	sample := r.Total
-	if r.Tokens > 0 {
-		sample = (r.Total - r.FirstToken) / time.Duration(r.Tokens)
-	}
-	if sample <= 0 {
-		return
-	}
+	sample := int64(r.Total) / int64(max(r.Tokens, 1))
 	had := p.nanos.Load()
 	if had == 0 {
-		had = int64(sample)
+		had = sample
+	}
+	p.nanos.Store(had + (sample-had)>>paceShift)
+}
+
+// firstToken returns the time to the first token of an answer, or to all of it for a plain service; zero if the answer
+// came as a whole, so that its time depends on its length.
+func firstToken(r admit.Result) time.Duration {
+	if r.Tokens == 0 {
+		return r.Total
+	}
+	if r.FirstToken*10 > r.Total*9 {
+		return 0
 	}
-	p.nanos.Store(had + (int64(sample)-had)>>paceShift)
+	return r.FirstToken
 }
 
 // slowness returns the pace in percent of a median, 100 if it is not slower or not known.
