--- a/server/run.go
+++ b/server/run.go
@@ -115,7 +115,8 @@
 // report tells the admitter how a run went.
 func report(res endpoint.Result) admit.Result {
 	return admit.Result{
-		Failed: res.Status != endpoint.Complete && res.Status != endpoint.Canceled,
+		Failed: res.Status != endpoint.Complete && res.Status != endpoint.Canceled && res.Reason != endpoint.ReasonBusy,
+		Busy:   res.Reason == endpoint.ReasonBusy, Cut: res.Status == endpoint.Canceled,
 		Silent: res.Reason == endpoint.ReasonSilent, FirstToken: res.FirstToken, Total: res.Total, Tokens: res.Usage.Generated,
 	}
 }
