Bill each request once over leases and domains

Cause: records of one request can reach the platform more than once: settled by a holder and, after its loss, handed to the next one; or run twice because a caller's retry went to another domain. Change: usage segments are folded into one object of totals per customer. A request counts once per lease, and under any lease but the first it is refunded by a total in the ledger that only grows. Late records settle closed leases. Report compares ledger and records. Measured: a random test of folds in any order with repeats and restarts holds; tests of a lost segment answer, a lost settlement, a lost holder and a request run in two domains pass.

--- /dev/null
+++ b/budget/billing.go
@@ -0,0 +1,179 @@
+package budget
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"google.golang.org/protobuf/proto"
+
+	"pumiceshelf/api"
+)
+
+const (
+	// billedLimit bounds the requests remembered per customer, so that the object stays under a megabyte.
+	billedLimit = 16384
+	// cursorLimit bounds the incarnations remembered per customer.
+	cursorLimit = 512
+	// leaseTotalLimit bounds the leases remembered per budget.
+	leaseTotalLimit = 512
+)
+
+// Billing folds usage segments into a customer's totals, each request once. It is not safe for concurrent use.
+type Billing struct {
+	msg *api.CustomerBilling
+	// first is the lease that a request was first billed under; pairs holds each request and lease.
+	first map[requestKey]uint64
+	pairs map[billedKey]*api.BilledRequest
+	// Refunds counts the records of this value that billed a request again under another lease.
+	Refunds int
+}
+
+type requestKey [16]byte
+
+type billedKey struct {
+	request requestKey
+	lease   uint64
+}
+
+// OpenBilling starts from a customer's totals, nil for none yet. The message given is not changed.
+func OpenBilling(customer string, msg *api.CustomerBilling) *Billing {
+	b := &Billing{msg: &api.CustomerBilling{Customer: customer}, first: make(map[requestKey]uint64), pairs: make(map[billedKey]*api.BilledRequest)}
+	if msg != nil {
+		b.msg = proto.Clone(msg).(*api.CustomerBilling)
+	}
+	for _, r := range b.msg.Billed {
+		k := billedKey{lease: r.Lease}
+		copy(k.request[:], r.Request)
+		b.remember(k, r)
+	}
+	return b
+}
+
+func (b *Billing) remember(k billedKey, r *api.BilledRequest) {
+	b.pairs[k] = r
+	if _, ok := b.first[k.request]; !ok {
+		b.first[k.request] = k.lease
+	}
+}
+
+// Message returns the totals. The caller must not change them.
+func (b *Billing) Message() *api.CustomerBilling { return b.msg }
+
+// Fold adds the customer's records in a segment to the totals and returns whether anything changed. A segment folded in
+// before changes nothing. The segments of an incarnation are folded in order.
+func (b *Billing) Fold(s *api.UsageSegment) bool {
+	c := b.cursor(s.Incarnation)
+	if s.Sequence < c.Next {
+		return false
+	}
+	c.Next = s.Sequence + 1
+	for _, r := range s.Records {
+		if r.Customer == b.msg.Customer {
+			b.bill(r)
+		}
+	}
+	b.forget()
+	return true
+}
+
+func (b *Billing) cursor(incarnation string) *api.SegmentCursor {
+	for _, c := range b.msg.Cursors {
+		if c.Incarnation == incarnation {
+			return c
+		}
+	}
+	c := &api.SegmentCursor{Incarnation: incarnation}
+	b.msg.Cursors = append(b.msg.Cursors, c)
+	return c
+}
+
+// bill counts a record. A request counts once per lease, at the larger figure if the holder billed its bound and its
+// entry instance knew better; under any lease but the first it is refunded.
+func (b *Billing) bill(r *api.UsageRecord) {
+	k := billedKey{lease: hashLease(r.Lease)}
+	sum := sha256.Sum256([]byte(r.RequestId))
+	copy(k.request[:], sum[:])
+	entry := b.entry(r.Budget)
+	known := b.pairs[k]
+	if known == nil {
+		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs}
+		b.msg.Billed = append(b.msg.Billed, known)
+		b.remember(k, known)
+		entry.Records++
+		if r.AtBound {
+			entry.AtBound++
+		}
+	}
+	tokens := r.PromptTokens + r.GeneratedTokens
+	more := tokens - min(tokens, known.Tokens)
+	known.Tokens += more
+	entry.Tokens += more
+	b.addLease(entry, r.Lease, more)
+	if b.first[k.request] != k.lease {
+		entry.Refunded += more
+		b.Refunds++
+	}
+}
+
+func hashLease(lease string) uint64 {
+	sum := sha256.Sum256([]byte(lease))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+func (b *Billing) entry(budget string) *api.BudgetBilling {
+	if e := BudgetBilling(b.msg, budget); e != nil {
+		return e
+	}
+	e := &api.BudgetBilling{Budget: budget}
+	b.msg.Budgets = append(b.msg.Budgets, e)
+	return e
+}
+
+// BudgetBilling returns the totals of a budget, or nil.
+func BudgetBilling(m *api.CustomerBilling, budget string) *api.BudgetBilling {
+	for _, e := range m.GetBudgets() {
+		if e.Budget == budget {
+			return e
+		}
+	}
+	return nil
+}
+
+func (b *Billing) addLease(e *api.BudgetBilling, lease string, tokens uint64) {
+	for _, l := range e.Leases {
+		if l.Lease == lease {
+			l.Total += tokens
+			return
+		}
+	}
+	e.Leases = append(e.Leases, &api.LeaseTotal{Lease: lease, Total: tokens})
+}
+
+// forget drops the oldest entries of what is bounded.
+func (b *Billing) forget() {
+	b.msg.Billed = newest(b.msg.Billed, billedLimit)
+	b.msg.Cursors = newest(b.msg.Cursors, cursorLimit)
+	for _, e := range b.msg.Budgets {
+		e.Leases = newest(e.Leases, leaseTotalLimit)
+	}
+}
+
+func newest[T any](list []T, limit int) []T {
+	if len(list) <= limit {
+		return list
+	}
+	return list[len(list)-limit:]
+}
+
+// Apply brings refunds and what records account for of closed leases into the customer's ledger.
+func (b *Billing) Apply(e *Edit) {
+	for _, entry := range b.msg.Budgets {
+		if e.Entry(entry.Budget) == nil {
+			continue
+		}
+		e.Refund(entry.Budget, Tokens(entry.Refunded))
+		for _, l := range entry.Leases {
+			e.Resolve(entry.Budget, l.Lease, Tokens(l.Total))
+		}
+	}
+}
--- /dev/null
+++ b/budget/billing_test.go
@@ -0,0 +1,102 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+)
+
+func segment(incarnation string, sequence uint64, records ...*api.UsageRecord) *api.UsageSegment {
+	return &api.UsageSegment{Incarnation: incarnation, Sequence: sequence, Records: records}
+}
+
+func record(id, lease string, tokens uint64) *api.UsageRecord {
+	return &api.UsageRecord{RequestId: id, Customer: "c", Budget: "b", Lease: lease, GeneratedTokens: tokens}
+}
+
+func TestFold(t *testing.T) {
+	Convey("Given a customer's totals", t, func() {
+		b := budget.OpenBilling("c", nil)
+		total := func() *api.BudgetBilling { return budget.BudgetBilling(b.Message(), "b") }
+
+		Convey("a segment folded in twice counts once", func() {
+			So(b.Fold(segment("i", 0, record("r", "l", 5))), ShouldBeTrue)
+			So(b.Fold(segment("i", 0, record("r", "l", 5))), ShouldBeFalse)
+			So(total().Tokens, ShouldEqual, 5)
+		})
+		Convey("a record that two holders kept for the same lease counts once, at the larger figure", func() {
+			b.Fold(segment("i", 0, record("r", "l", 5)))
+			b.Fold(segment("j", 0, record("r", "l", 9)))
+			b.Fold(segment("k", 0, record("r", "l", 5)))
+			So(total().Tokens, ShouldEqual, 9)
+			So(total().Records, ShouldEqual, 1)
+			So(total().Refunded, ShouldEqual, 0)
+		})
+		Convey("a request billed under two leases is refunded once, also over a restart of the fold", func() {
+			b.Fold(segment("i", 0, record("r", "l1", 5)))
+			b = budget.OpenBilling("c", b.Message())
+			b.Fold(segment("j", 0, record("r", "l2", 7)))
+			b.Fold(segment("j", 1, record("r", "l2", 7)))
+			So(total().Tokens, ShouldEqual, 12)
+			So(total().Refunded, ShouldEqual, 7)
+		})
+		Convey("records of other customers are left out", func() {
+			other := record("r", "l", 5)
+			other.Customer = "d"
+			b.Fold(segment("i", 0, other))
+			So(total(), ShouldBeNil)
+		})
+		Convey("totals bring refunds and late records into the ledger, once", func() {
+			b.Fold(segment("i", 0, record("r", "l", 40), record("r", "m", 30)))
+			e := budget.Begin("c", ledgerWith(&api.QuotaLease{Id: "l", Taken: 100, Settled: 10, Closed: true, Bound: 60}))
+			b.Apply(e)
+			b.Apply(e)
+			So(e.Entry("b").Leases[0].Settled, ShouldEqual, 40)
+			So(e.Entry("b").Refunded, ShouldEqual, 30)
+		})
+	})
+}
+
+// TestFoldOnce bills each request once whatever the order of incarnations, repeats and restarts of the fold.
+func TestFoldOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segments := make(map[string][]*api.UsageSegment)
+		usage := make(map[string]uint64)
+		for range rapid.IntRange(1, 12).Draw(t, "segments") {
+			holder := fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "holder"))
+			id := fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "request"))
+			usage[id] = uint64(len(id) + int(id[1]))
+			lease := fmt.Sprint("l", rapid.IntRange(0, 2).Draw(t, "lease"))
+			segments[holder] = append(segments[holder], segment(holder, uint64(len(segments[holder])), record(id, lease, usage[id])))
+		}
+		b := budget.OpenBilling("c", nil)
+		for len(segments) > 0 {
+			holder := fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "next"))
+			if len(segments[holder]) == 0 {
+				delete(segments, holder)
+				continue
+			}
+			b.Fold(segments[holder][0])
+			if rapid.Bool().Draw(t, "restart") {
+				b = budget.OpenBilling("c", proto.Clone(b.Message()).(*api.CustomerBilling))
+			}
+			if rapid.Bool().Draw(t, "go on") {
+				segments[holder] = segments[holder][1:]
+			}
+		}
+		var want uint64
+		for _, tokens := range usage {
+			want += tokens
+		}
+		got := budget.BudgetBilling(b.Message(), "b")
+		if got.Tokens-got.Refunded != want {
+			t.Fatalf("billed %d - %d refunded, want %d", got.Tokens, got.Refunded, want)
+		}
+	})
+}
--- /dev/null
+++ b/quota/billing_test.go
@@ -0,0 +1,90 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/internal/standin"
+)
+
+// report returns the report on the hot budget.
+func (f *fleet) report() BudgetReport {
+	r, err := Report(f.t.Context(), f.objects.Link("test"), hot.Customer)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r[0]
+}
+
+func TestRecords(t *testing.T) {
+	Convey("Given three instances in one domain and two in another", t, func() {
+		f := newFleet(t, 10_000)
+		for _, n := range []string{"a", "b", "c"} {
+			f.start("d1", n)
+		}
+		f.start("d2", "x")
+		f.start("d2", "y")
+		holder, entry, far := f.holder("d1"), f.other("d1"), f.other("d2")
+
+		Convey("records and ledger agree after the fold, and segments are gone", func() {
+			f.reserve(entry, "r1", 100)
+			f.settle(entry, "r1", 60)
+			f.steps(30 * time.Second)
+			r := f.report()
+			So(r.Agrees, ShouldBeTrue)
+			So(r.Recorded, ShouldEqual, 60)
+			So(r.Settled, ShouldEqual, 60)
+			left, _ := f.objects.Link("test").List(t.Context(), usagePrefix, "", 10)
+			So(left, ShouldBeEmpty)
+		})
+		Convey("a lost answer to a segment's write bills nothing twice", func() {
+			lost := 0
+			f.objects.SetFaults(standin.Faults{LoseAnswer: func(string) bool { lost++; return lost%2 == 1 }})
+			for _, id := range []string{"r1", "r2", "r3"} {
+				So(f.reserve(entry, id, 100).Outcome, ShouldEqual, Granted)
+				f.settle(entry, id, 60)
+				f.steps(3 * time.Second)
+			}
+			f.objects.SetFaults(standin.Faults{})
+			f.steps(30 * time.Second)
+			So(f.report().Recorded, ShouldEqual, 180)
+			So(f.report().Settled, ShouldEqual, 180)
+		})
+		Convey("a settlement that the holder took with it is kept by the entry instance for the next holder", func() {
+			f.reserve(entry, "r1", 100)
+			f.steps(3 * time.Second)
+			f.cutPlatform(holder.self.Name)
+			f.settle(entry, "r1", 60)
+			f.kill(holder)
+			f.steps(time.Minute)
+			r := f.report()
+			So(r.Closed, ShouldHaveLength, 1)
+			So(r.Recorded, ShouldEqual, 60)
+			So(r.Closed[0].Settled, ShouldEqual, 60)
+			So(r.Agrees, ShouldBeTrue)
+		})
+		Convey("a request that ran in two domains is billed once", func() {
+			f.reserve(entry, "r1", 100)
+			f.reserve(far, "r1", 100)
+			f.settle(entry, "r1", 60)
+			f.settle(far, "r1", 60)
+			f.steps(30 * time.Second)
+			r := f.report()
+			So(r.Recorded-r.Refunded, ShouldEqual, 60)
+			So(r.Agrees, ShouldBeTrue)
+		})
+		Convey("a settlement whose answer is lost is billed once", func() {
+			f.reserve(entry, "r1", 100)
+			f.loseAnswers(func(_, _, rpc string) bool { return rpc == "/pumiceshelf.v1.BudgetPeer/Settle" })
+			ctx, cancel := f.soon()
+			entry.Settle(ctx, Usage{RequestID: "r1", Budget: hot, Generated: 60, Ran: true})
+			cancel()
+			f.loseAnswers(nil)
+			f.steps(30 * time.Second)
+			So(f.report().Recorded, ShouldEqual, 60)
+			So(entry.entry.undelivered(), ShouldEqual, 0)
+		})
+	})
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -213,6 +213,7 @@
 		n.slept = 0
 		n.reclaim(ctx)
 		n.resolveOrphans(ctx)
+		n.compact(ctx)
 	}
 }
 
@@ -407,3 +408,8 @@
 	}
 	f.t.Fatal("call did not return")
 }
+
+// soon returns a context that ends after a moment.
+func (f *fleet) soon() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(f.t.Context(), 20*time.Millisecond)
+}
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -26,6 +26,9 @@
 	witnessMu sync.Mutex
 	witness   *budget.Witness
 
+	reclaimedMu sync.Mutex
+	reclaimed   map[string]time.Time // by customer
+
 	links  sync.Map // incarnation to *link
 	routes sync.Map // budget.ID to *route
 
@@ -40,14 +43,15 @@
 func New(cfg Config) *Manager {
 	life, end := context.WithCancel(context.Background())
 	m := &Manager{
-		cfg:      cfg,
-		self:     cfg.Self.Incarnation,
-		domain:   cfg.Self.Domain,
-		counters: newCounters(cfg.Metrics),
-		absences: newAbsences(),
-		witness:  budget.NewWitness(cfg.Self.Incarnation),
-		life:     life,
-		end:      end,
+		cfg:       cfg,
+		self:      cfg.Self.Incarnation,
+		domain:    cfg.Self.Domain,
+		counters:  newCounters(cfg.Metrics),
+		absences:  newAbsences(),
+		witness:   budget.NewWitness(cfg.Self.Incarnation),
+		reclaimed: make(map[string]time.Time),
+		life:      life,
+		end:       end,
 	}
 	m.entry = newEntry(m)
 	m.holder = newHolder(m)
@@ -62,6 +66,7 @@
 	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval()/tickDivisor, m.holder.kicks, m.writeLedgers) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.writeRecords) })
 	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
+	g.Go(func() error { return m.loop(ctx, compactInterval, nil, m.compact) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.resolveOrphans) })
 	return g.Wait()
 }
--- a/quota/reclaim.go
+++ b/quota/reclaim.go
@@ -47,21 +47,22 @@
 	}
 	live := m.liveIncarnations()
 	m.absences.forget(m.cfg.Clock.Now(), absenceKeep)
-	err := eachObject(ctx, m.cfg.Store, LedgerPrefix, func(obj platform.Object) {
+	err := eachObject(ctx, m.cfg.Store, LedgerPrefix, func(obj platform.Object) error {
 		ledger := &api.CustomerLedger{}
 		if err := proto.Unmarshal(obj.Value, ledger); err != nil {
 			m.cfg.Log.Errorf("quota: ledger %s cannot be read: %v", obj.Key, err)
-			return
+			return nil
 		}
 		m.reclaimLedger(ctx, ledger, budget.Version(obj.Version), live)
+		return nil
 	})
 	if err != nil {
 		m.counters.unavailable.Inc(1)
 	}
 }
 
-// eachObject calls f for each object with a prefix, in order of keys.
-func eachObject(ctx context.Context, store platform.Store, prefix string, f func(platform.Object)) error {
+// eachObject calls f for each object with a prefix, in order of keys, until f returns an error.
+func eachObject(ctx context.Context, store platform.Store, prefix string, f func(platform.Object) error) error {
 	after := ""
 	for {
 		page, err := listPageOf(ctx, store, prefix, after)
@@ -69,7 +70,9 @@
 			return err
 		}
 		for _, obj := range page {
-			f(obj)
+			if err := f(obj); err != nil {
+				return err
+			}
 		}
 		if len(page) < listPage {
 			return nil
@@ -125,12 +128,39 @@
 	for _, text := range closed {
 		m.repaired(text)
 	}
-	if b := m.holder.knownBook(next.Customer); b != nil {
+	m.noteReclaimed(next.Customer)
+	m.refreshBook(next.Customer)
+}
+
+// refreshBook has this instance's own leases of a customer look at the ledger.
+func (m *Manager) refreshBook(customer string) {
+	if b := m.holder.knownBook(customer); b != nil {
 		b.refresh()
 		m.holder.kick()
 	}
 }
 
+// noteReclaimed remembers a customer whose closed leases are to be compared with records for a while.
+func (m *Manager) noteReclaimed(customer string) {
+	m.reclaimedMu.Lock()
+	defer m.reclaimedMu.Unlock()
+	m.reclaimed[customer] = m.cfg.Clock.Now()
+}
+
+// reclaimedLately returns the customers whose leases this instance closed lately.
+func (m *Manager) reclaimedLately() []string {
+	m.reclaimedMu.Lock()
+	defer m.reclaimedMu.Unlock()
+	var out []string
+	for customer, at := range m.reclaimed {
+		out = append(out, customer)
+		if m.cfg.Clock.Since(at) > syncFor {
+			delete(m.reclaimed, customer)
+		}
+	}
+	return out
+}
+
 func (m *Manager) repaired(text string) {
 	if m.cfg.Repairs != nil {
 		m.cfg.Repairs.Add(part, text)
--- /dev/null
+++ b/quota/report.go
@@ -0,0 +1,115 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
+	"pumiceshelf/platform"
+)
+
+// BudgetReport is what the platform holds of a budget, in tokens.
+type BudgetReport struct {
+	Budget   string
+	Granted  budget.Tokens
+	Refunded budget.Tokens
+	// Settled is what the ledger says was billed, over open and closed leases.
+	Settled budget.Tokens
+	// Free is held by no lease.
+	Free budget.Tokens
+	// Open leases, and closed ones that records do not account for in full.
+	Open, Closed []*api.QuotaLease
+	// Parked may have been spent under closed leases, and no record accounts for it.
+	Parked budget.Tokens
+	// Records and Recorded count the usage records on file and their tokens; Refunded of them were billed twice.
+	Records  uint64
+	Recorded budget.Tokens
+	AtBound  uint64
+	Wants    []*api.Want
+	// Agrees is false when the records and the ledger contradict each other; Why says how.
+	Agrees bool
+	Why    string
+}
+
+// Report returns a report on each budget of a customer.
+func Report(ctx context.Context, store platform.Store, customer string) ([]BudgetReport, error) {
+	// The ledger is read first: records only grow, and reach the platform before the ledger counts them.
+	ledger, _, err := readLedger(ctx, store, customer)
+	if err != nil {
+		return nil, fmt.Errorf("quota: ledger of %s: %w", customer, err)
+	}
+	billing, err := foldAll(ctx, store, customer)
+	if err != nil {
+		return nil, fmt.Errorf("quota: usage records of %s: %w", customer, err)
+	}
+	var out []BudgetReport
+	for _, b := range ledger.GetBudgets() {
+		out = append(out, reportBudget(b, budget.BudgetBilling(billing, b.Budget)))
+	}
+	return out, nil
+}
+
+// foldAll returns a customer's billing totals with the segments not yet folded in.
+func foldAll(ctx context.Context, store platform.Store, customer string) (*api.CustomerBilling, error) {
+	var segments []storedSegment
+	err := eachSegment(ctx, store, func(s storedSegment) error {
+		if concerns(s, customer) {
+			segments = append(segments, s)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	// The totals are read after the segments: one folded and deleted in between is counted in them.
+	msg, _, err := readBilling(ctx, store, customer)
+	if err != nil {
+		return nil, err
+	}
+	b := budget.OpenBilling(customer, msg)
+	for _, s := range segments {
+		b.Fold(s.UsageSegment)
+	}
+	return b.Message(), nil
+}
+
+func reportBudget(b *api.BudgetLedger, billing *api.BudgetBilling) BudgetReport {
+	r := BudgetReport{
+		Budget:   b.Budget,
+		Granted:  budget.Tokens(b.Granted),
+		Refunded: budget.Tokens(b.Refunded),
+		Settled:  budget.Tokens(b.ClosedSpend),
+		Free:     budget.Free(b),
+		Parked:   budget.Tokens(b.Unresolved),
+		Records:  billing.GetRecords(),
+		Recorded: budget.Tokens(billing.GetTokens()),
+		AtBound:  billing.GetAtBound(),
+		Wants:    b.Wants,
+	}
+	var unsettled budget.Tokens
+	for _, l := range b.Leases {
+		r.Settled += budget.Tokens(l.Settled)
+		if l.Closed {
+			r.Closed = append(r.Closed, l)
+			r.Parked += budget.Tokens(l.Bound - l.Settled)
+		} else {
+			r.Open = append(r.Open, l)
+			unsettled += budget.Tokens(l.Taken - l.Settled)
+		}
+	}
+	r.judge(unsettled)
+	return r
+}
+
+// judge compares records and ledger. Records may be ahead of the ledger by what open leases have not yet written into it.
+func (r *BudgetReport) judge(unsettled budget.Tokens) {
+	switch {
+	case r.Recorded < r.Settled:
+		r.Why = fmt.Sprintf("the ledger has settled %d tokens but records account for %d", r.Settled, r.Recorded)
+	case r.Recorded > r.Settled+unsettled+r.Parked:
+		r.Why = fmt.Sprintf("records bill %d tokens but the ledger allows for %d", r.Recorded, r.Settled+unsettled+r.Parked)
+	default:
+		r.Agrees = true
+	}
+}
