Grow limits only in use; let urgent work pass batch work that waits for room

Cause: the limit of an endpoint that nobody rated grew with every answer, used or not; a request was queued because batch work of its group waited. Change: a limit grows while at least half of this instance's room is used; a request passes when none of its class or above waits and no lower class is due.

--- a/admit/group.go
+++ b/admit/group.go
@@ -72,6 +72,18 @@
 	return nil
 }
 
+// mayPass says whether a request may go to an endpoint now although others wait: if none of its class or above does and
+// no lower class is due its turn.
+func (g *groupQueue) mayPass(now time.Time, class Class, places int) bool {
+	for c := range g.classes {
+		due := Class(c) <= class || g.passed[c] >= turnsPerLower
+		if due && g.classes[c].waiting > 0 {
+			return false
+		}
+	}
+	return class != Batch || g.batchMayGo(now, places)
+}
+
 // batchMayGo says whether batch work leaves room for what the higher classes are expected to ask for while it runs:
 // their average demand, or what they have in flight if that is more.
 func (g *groupQueue) batchMayGo(now time.Time, places int) bool {
@@ -138,11 +150,11 @@
 }
 
 // victim returns a waiting request that the new one may displace from its own class: one of the customer that holds
-// most places over its weight, unless that is the new one's own or would have fewer than it.
+// most places over its weight, unless the new one's customer would then hold as many.
 func (g *groupQueue) victim(item Item) *waiter {
 	q := &g.classes[item.Class]
 	worst := q.heaviest()
-	if worst == nil || worst.name == item.Customer {
+	if worst == nil {
 		return nil
 	}
 	own := 1 / float64(max(item.Weight, 1))
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -136,15 +136,6 @@
 	return now.Add(q.group(item.Group).service.expected(now, item.Cost)).After(item.Deadline)
 }
 
-// mayPass says whether a request may go to an endpoint now without waiting.
-func (q *queues) mayPass(now time.Time, item Item, places int) bool {
-	g := q.group(item.Group)
-	if g.waiting() > 0 {
-		return false
-	}
-	return item.Class != Batch || g.batchMayGo(now, places)
-}
-
 // finish counts the end of a dispatched request.
 func (q *queues) finish(now time.Time, item Item, r Result) {
 	g := q.groups[item.Group]
--- a/admit/shell.go
+++ b/admit/shell.go
@@ -94,7 +94,7 @@
 		return c.refuse(w, TooLate), false
 	}
 	places := c.config.Chooser.Places(w.item.Group)
-	if c.queues.mayPass(now, w.item, places) {
+	if c.queues.group(w.item.Group).mayPass(now, w.item.Class, places) {
 		place, availability := c.config.Chooser.Acquire(w.item.Group, w.target)
 		switch availability {
 		case Chosen:
@@ -117,6 +117,7 @@
 	if refused != 0 {
 		return c.refuse(w, refused), false
 	}
+	c.dispatch(now, w.item.Group)
 	c.wake()
 	return Ticket{}, true
 }
--- a/admit/shell_test.go
+++ b/admit/shell_test.go
@@ -99,6 +99,15 @@
 			So(c.Admit(ctx, item("x", Standard, far), Target{}).Outcome, ShouldEqual, Canceled)
 			So(c.queues.waiting, ShouldEqual, 0)
 		})
+		Convey("batch work that waits for room does not hold up the others", func() {
+			s.places = 3
+			low := admitAll(c, item("x", Batch, far), item("x", Batch, far), item("x", Batch, far))
+			clock.Advance(demandTime)
+			So([]Outcome{answered(low[0]), answered(low[1]), answered(low[2])}, ShouldResemble, []Outcome{Admitted, Admitted, 0})
+			s.places = 4
+			So(answered(admitAll(c, item("x", Interactive, far))[0]), ShouldEqual, Admitted)
+			So(answered(low[2]), ShouldEqual, 0)
+		})
 		Convey("retry times are spread", func() {
 			seen := map[time.Duration]bool{}
 			for range 10 {
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -76,7 +76,7 @@
 		seed = rand.Uint64()
 	}
 	b.random.Store(seed)
-	b.table.Store(emptyTable())
+	b.table.Store(&table{fleet: b.fleet()})
 	b.rebuild()
 	return b
 }
@@ -146,7 +146,8 @@
 func (b *Balancer) succeed(s *state, r admit.Result) {
 	s.health.succeeded()
 	s.pace.observe(r)
-	if s.limit.completed(firstToken(r)) {
+	pressed := b.table.Load().pressed(b.config.Clock.Now(), s)
+	if s.limit.completed(firstToken(r), pressed) {
 		b.meters.slowed.Inc(1)
 		b.config.Log.Debugf("route: limit of %s lowered to %d, first tokens are slow", s.id, s.limit.get())
 	}
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -156,6 +156,23 @@
 		})
 	})
 
+	Convey("An endpoint that nobody rated earns a higher limit only while it is used", t, func() {
+		f := newFixture(testBundle(1, 1, 0, "a"), instances(1, "a"), 0, "")
+		answer := admit.Result{FirstToken: 50 * time.Millisecond, Total: time.Second, Tokens: 100}
+		for range 100 {
+			p, _ := f.acquire(admit.Target{})
+			f.balancer.Release(p, answer)
+		}
+		So(f.status("a-e0").Limit, ShouldEqual, 8)
+		var places []admit.Place
+		for p, a := f.acquire(admit.Target{}); a == admit.Chosen; p, a = f.acquire(admit.Target{}) {
+			places = append(places, p)
+		}
+		f.balancer.Release(places[0], answer)
+		f.balancer.Release(places[1], answer)
+		So(f.status("a-e0").Limit, ShouldEqual, 9)
+	})
+
 	Convey("Endpoints that have no room are not ejected, but get less", t, func() {
 		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
 		for range 50 {
--- a/route/limiter.go
+++ b/route/limiter.go
@@ -108,9 +108,9 @@
 	l.publish()
 }
 
-// completed takes in the time to the first token of a whole answer, zero if not known. It returns true when it lowered
-// the limit.
-func (l *limiter) completed(first time.Duration) bool {
+// completed takes in the time to the first token of a whole answer, zero if not known. The limit grows only while it is
+// pressed, that is while this instance uses much of its part. It returns true when it lowered the limit.
+func (l *limiter) completed(first time.Duration, pressed bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sample(float64(first))
@@ -120,7 +120,7 @@
 		l.publish()
 		return true
 	}
-	if l.limit < l.ceiling && !l.strained() {
+	if pressed && l.limit < l.ceiling && !l.strained() {
 		l.limit += 1 / math.Sqrt(l.limit)
 		l.publish()
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -82,6 +82,7 @@
 // table is an immutable view of all endpoints, swapped as a whole.
 type table struct {
 	number uint64
+	fleet  fleet
 	groups map[string]*group
 	states map[string]*state
 	// memberships lists the groups of each endpoint.
@@ -90,10 +91,6 @@
 	endpoints map[string]*bundle.Endpoint
 }
 
-func emptyTable() *table {
-	return &table{groups: map[string]*group{}, states: map[string]*state{}}
-}
-
 // fleet says with how many others this instance shares endpoints.
 type fleet struct {
 	domain instance.Domain
@@ -106,6 +103,7 @@
 func build(snap *bundle.Snapshot, f fleet, old *table, initial uint32) *table {
 	t := &table{
 		number:      snap.Number,
+		fleet:       f,
 		groups:      make(map[string]*group),
 		states:      make(map[string]*state),
 		memberships: make(map[*state][]*group),
@@ -123,6 +121,15 @@
 	return t
 }
 
+// pressed says whether this instance used at least half of its room at an endpoint when a request there ended.
+func (t *table) pressed(now time.Time, s *state) bool {
+	own, sh := s.domain == t.fleet.domain, t.fleet.inFleet
+	if own {
+		sh = t.fleet.inDomain
+	}
+	return 2*(s.inFlight.Load()+1) >= s.room(now, own, sh)
+}
+
 func (t *table) addState(e *bundle.Endpoint, old *table, initial uint32) {
 	t.endpoints[e.ID] = e
 	s := old.states[e.ID]
