--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -235,23 +235,39 @@
 }
 
 func TestInstancesTellEachOther(t *testing.T) {
-	Convey("Given a domain of 30 instances", t, func() {
-		f := newFleet(t, clockwork.NewRealClock())
+	Convey("Given a domain of 30 instances whose clocks stand still, so that none polls or compares", t, func() {
+		f := newFleet(t, clockwork.NewFakeClock())
 		defer f.stopAll()
+		mustRoll(t, f.objects, testBundle(1, 100, 2))
 		for i := range 30 {
-			f.add("d1", fmt.Sprintf("a%d", i))
+			f.prepare("d1", fmt.Sprintf("a%d", i))
+		}
+		for _, n := range f.list() {
+			n.run()
 		}
-		mustRoll(t, f.objects, testBundle(1, 100, 2))
 		allHave(t, f.list(), 1)
 		before := f.objects.Calls()
 		b := testBundle(2, 100, 2)
 		b.Customers[5].Weight = 7
 		mustRoll(t, f.objects, b)
-		allHave(t, f.list(), 2)
-		Convey("one of them reads the platform for all", func() {
-			calls := f.objects.Calls()
-			// The roll itself reads the pointer three times: to sign, as approvers, and to roll.
-			So(calls.Reads-before.Reads, ShouldBeLessThan, 8)
+		Convey("one reads the platform and the others hear of it from peers", func() {
+			allHave(t, f.list(), 2)
+			// Two reads are the operator's: the pointer, to sign and to roll. One is the changed pack.
+			So(f.objects.Calls().Reads-before.Reads, ShouldEqual, 3)
+			So(f.objects.Calls().Watches-before.Watches, ShouldBeLessThanOrEqualTo, 1)
+		})
+		Convey("and so when some of them do not answer", func() {
+			allHave(t, f.list(), 2)
+			ranked := f.list()[0].Ranked(topic)
+			dead := map[string]bool{ranked[1].Name: true, ranked[7].Name: true}
+			f.setCut(func(a, b string) bool { return dead[a] && !dead[b] })
+			b.Number, b.Customers[5].Weight = 3, 8
+			mustRoll(t, f.objects, b)
+			for _, n := range f.list() {
+				if !dead[n.self.Name] {
+					allHave(t, []*node{n}, 3)
+				}
+			}
 		})
 	})
 }
--- a/bundle/source.go
+++ b/bundle/source.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
 	"pumiceshelf/api"
@@ -50,7 +49,6 @@
 // peerSource is one peer as a source.
 type peerSource struct {
 	client  api.DRPCBundlePeerClient
-	clock   clockwork.Clock
 	trusted Hash
 	metrics metrics.Registry
 	chain   map[Hash]*api.SignedManifest
@@ -62,7 +60,7 @@
 	if s.trusted != (Hash{}) {
 		request.TrustedHash = s.trusted[:]
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	response, err := s.client.Current(ctx, request)
 	if err != nil {
@@ -114,7 +112,7 @@
 }
 
 func (s *peerSource) parts(ctx context.Context, request *api.PartsRequest) (*api.PartsResponse, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	return s.client.Parts(ctx, request)
 }
--- a/bundle/spread.go
+++ b/bundle/spread.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"pumiceshelf/api"
@@ -37,7 +36,7 @@
 }
 
 func (h *Holder) take(ctx context.Context, a announcement) {
-	ctx, cancel := clockwork.WithTimeout(ctx, h.cfg.Clock, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	from, err := h.peerSource(ctx, a.from)
 	if err != nil {
@@ -114,7 +113,7 @@
 }
 
 func (t *teller) send(ctx context.Context, to string) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, t.holder.cfg.Clock, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	conn, err := t.holder.cfg.Conns.Conn(ctx, instance.Incarnation(to))
 	if err != nil {
--- a/bundle/watch.go
+++ b/bundle/watch.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"pumiceshelf/api"
 	"pumiceshelf/instance"
 	"pumiceshelf/peer"
@@ -67,7 +65,7 @@
 
 // watchOnce waits for one change and returns the version seen. An error means that it is to be seen again.
 func (h *Holder) watchOnce(ctx context.Context, seen platform.Version) (platform.Version, error) {
-	watchCtx, cancel := clockwork.WithTimeout(ctx, h.cfg.Clock, watchTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	obj, err := h.cfg.Store.Watch(watchCtx, PointerKey, seen)
 	if errors.Is(err, platform.ErrUnchanged) {
@@ -115,7 +113,7 @@
 		return nil
 	}
 	metricReceived.Counter(h.cfg.Metrics).Inc(int64(len(p.Signed.Manifest)))
-	ctx, cancel := clockwork.WithTimeout(ctx, h.cfg.Clock, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	return h.offer(ctx, p.Signed, h.storeSource(), false)
 }
@@ -183,7 +181,7 @@
 
 // pull asks a peer for its bundle and offers it. With confirm the peer must first compare it with the platform.
 func (h *Holder) pull(ctx context.Context, m peer.Member, confirm bool) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, h.cfg.Clock, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	from, err := h.peerSource(ctx, instance.Incarnation(m.Instance.Incarnation))
 	if err != nil {
@@ -206,7 +204,7 @@
 func (h *Holder) sameDomain(i *api.Instance) bool { return i.Domain == h.cfg.Self.Domain }
 
 func (h *Holder) peerSource(ctx context.Context, i instance.Incarnation) (*peerSource, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, h.cfg.Clock, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	conn, err := h.cfg.Conns.Conn(ctx, i)
 	if err != nil {
@@ -214,7 +212,6 @@
 	}
 	return &peerSource{
 		client:  api.NewDRPCBundlePeerClient(conn),
-		clock:   h.cfg.Clock,
 		trusted: h.force.Load().trust.hash,
 		metrics: h.cfg.Metrics,
 	}, nil
--- a/settings/load.go
+++ b/settings/load.go
@@ -4,13 +4,11 @@
 	"fmt"
 	"os"
 
-	"github.com/tailscale/hujson"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"pumiceshelf/api"
 	"pumiceshelf/fieldcheck"
+	"pumiceshelf/internal/commentjson"
 )
 
 // Problems are all that is wrong with the settings.
@@ -33,7 +31,7 @@
 // Parse reads settings from JSON with comments, like Load.
 func Parse(text []byte) (*api.Settings, error) {
 	given := &api.Settings{}
-	if err := Unmarshal(text, given); err != nil {
+	if err := commentjson.Unmarshal(text, given); err != nil {
 		return nil, err
 	}
 	s := Default()
@@ -44,18 +42,6 @@
 	return s, nil
 }
 
-// Unmarshal reads a message from JSON with comments and refuses fields that the message does not have.
-func Unmarshal(text []byte, m proto.Message) error {
-	plain, err := hujson.Standardize(text)
-	if err != nil {
-		return fmt.Errorf("not JSON with comments: %w", err)
-	}
-	if err := protojson.Unmarshal(plain, m); err != nil {
-		return fmt.Errorf("not of the schema: %w", err)
-	}
-	return nil
-}
-
 // overlay sets in dst the fields that are set in src, message by message. Lists and durations are replaced whole.
 func overlay(dst, src protoreflect.Message) {
 	src.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
