--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -25,7 +25,8 @@
 // run sends the call once and sees its answer through.
 func (a *answer) run(ctx context.Context) Result {
 	x := a.client.exchange(ctx, request{
-		method: a.call.Method, base: a.call.URL, path: a.call.Path, header: a.call.Header, body: a.call.Body, fresh: a.call.Fresh,
+		method: a.call.Method, base: a.call.URL, path: a.call.Path, header: a.call.Header, body: a.call.Body,
+		fresh: a.call.Fresh, resumable: a.call.Model && a.call.Stream,
 	})
 	defer x.close()
 	if x.err != nil {
@@ -49,7 +50,12 @@
 	if !x.sent() {
 		return Result{Status: NotSent, Reason: reason}
 	}
-	return a.broken(ctx, reason)
+	res := a.broken(ctx, reason)
+	if reason == ReasonSilent && res.Status != Complete {
+		// The endpoint does not know the request: it was the connection that swallowed it.
+		x.discard()
+	}
+	return res
 }
 
 // broken judges a call that may have run: an engine may still have its answer.
--- a/endpoint/assemble.go
+++ b/endpoint/assemble.go
@@ -6,71 +6,76 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 )
 
-// errUnfit means that a streamed answer has parts that a whole one cannot be put together from.
+// errUnfit means that the pieces of a stream are not those of one answer.
 var errUnfit = errors.New("endpoint: answer cannot be assembled")
 
-// assembled is a whole answer that was put together from a stream.
-type assembled struct {
-	ID        string            `json:"id"`
-	Object    string            `json:"object"`
-	Created   int64             `json:"created,omitempty"`
-	Model     string            `json:"model"`
-	RequestID string            `json:"request_id"`
-	Choices   []assembledChoice `json:"choices"`
-	Usage     json.RawMessage   `json:"usage"`
+// wholeAnswer is an answer in one piece.
+type wholeAnswer struct {
+	ID        string          `json:"id"`
+	Object    string          `json:"object"`
+	Created   int64           `json:"created,omitempty"`
+	Model     string          `json:"model"`
+	RequestID string          `json:"request_id"`
+	Choices   []wholeChoice   `json:"choices"`
+	Usage     json.RawMessage `json:"usage"`
 }
 
-type assembledChoice struct {
-	Index        int              `json:"index"`
-	Message      assembledMessage `json:"message"`
-	FinishReason string           `json:"finish_reason"`
+type wholeChoice struct {
+	Index        int            `json:"index"`
+	Message      map[string]any `json:"message"`
+	Logprobs     any            `json:"logprobs,omitempty"`
+	FinishReason string         `json:"finish_reason"`
 }
 
-type assembledMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// eventAnswer is an event of a streamed answer.
+type eventAnswer struct {
+	ID        string          `json:"id"`
+	Object    string          `json:"object"`
+	Created   int64           `json:"created,omitempty"`
+	Model     string          `json:"model"`
+	RequestID string          `json:"request_id"`
+	Choices   []eventChoice   `json:"choices"`
+	Usage     json.RawMessage `json:"usage,omitempty"`
 }
 
-// streamedPart is what assembling reads of an event.
-type streamedPart struct {
-	ID      string          `json:"id"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Usage   json.RawMessage `json:"usage"`
-	Choices []struct {
-		Index        int                        `json:"index"`
-		Delta        map[string]json.RawMessage `json:"delta"`
-		FinishReason *string                    `json:"finish_reason"`
-	} `json:"choices"`
+type eventChoice struct {
+	Index        int            `json:"index"`
+	Delta        map[string]any `json:"delta"`
+	Logprobs     any            `json:"logprobs,omitempty"`
+	FinishReason *string        `json:"finish_reason"`
 }
 
-// Assembler puts a whole answer together from the pieces of a stream.
+// Assembler puts a whole answer together from the pieces of a stream. The zero value is empty.
 type Assembler struct {
-	out  assembled
-	text strings.Builder
-	end  string
+	last     eventAnswer
+	message  *merger
+	logprobs any
+	usage    json.RawMessage
+	end      string
+	size     int
 }
 
 // Add takes the next piece.
 func (b *Assembler) Add(p Piece) error {
-	var part streamedPart
-	if err := json.Unmarshal(p.Data, &part); err != nil {
-		return errUnfit
+	b.size += len(p.Data)
+	b.last = eventAnswer{}
+	if err := json.Unmarshal(p.Data, &b.last); err != nil {
+		return fmt.Errorf("%w: %w", errUnfit, err)
+	}
+	if b.message == nil {
+		b.message = newMerger()
 	}
-	b.out.ID, b.out.Model, b.out.Created = part.ID, part.Model, part.Created
-	if part.Usage != nil {
-		b.out.Usage = part.Usage
+	if b.last.Usage != nil {
+		b.usage = b.last.Usage
 	}
-	for _, c := range part.Choices {
+	for _, c := range b.last.Choices {
 		if c.Index != 0 {
 			return errUnfit
 		}
-		if err := b.delta(c.Delta); err != nil {
-			return err
-		}
+		b.message.add(c.Delta)
+		b.logprobs = mergeLogprobs(b.logprobs, c.Logprobs)
 		if c.FinishReason != nil {
 			b.end = *c.FinishReason
 		}
@@ -78,34 +83,23 @@
 	return nil
 }
 
-// delta takes text; tool calls and the like are not assembled.
-func (b *Assembler) delta(d map[string]json.RawMessage) error {
-	for field, value := range d {
-		switch field {
-		case "role":
-		case "content":
-			var text *string
-			if err := json.Unmarshal(value, &text); err != nil {
-				return errUnfit
-			}
-			if text != nil {
-				b.text.WriteString(*text)
-			}
-		default:
-			return errUnfit
-		}
-	}
-	return nil
-}
-
-// Size returns the bytes of text taken so far.
-func (b *Assembler) Size() int { return b.text.Len() }
+// Size returns the bytes of the pieces taken so far.
+func (b *Assembler) Size() int { return b.size }
 
 // Whole returns the answer.
 func (b *Assembler) Whole(requestID string) ([]byte, error) {
-	b.out.Object, b.out.RequestID = "chat.completion", requestID
-	b.out.Choices = []assembledChoice{{Message: assembledMessage{Role: "assistant", Content: b.text.String()}, FinishReason: b.end}}
-	return json.Marshal(b.out)
+	if b.message == nil {
+		return nil, errUnfit
+	}
+	message := b.message.value()
+	message["role"] = "assistant"
+	if _, ok := message["content"]; !ok {
+		message["content"] = nil
+	}
+	return json.Marshal(wholeAnswer{
+		ID: b.last.ID, Object: "chat.completion", Created: b.last.Created, Model: b.last.Model, RequestID: requestID, Usage: b.usage,
+		Choices: []wholeChoice{{Message: message, Logprobs: b.logprobs, FinishReason: b.end}},
+	})
 }
 
 // assemble obtains a whole answer that broke by streaming it from the engine.
@@ -132,42 +126,26 @@
 	return res
 }
 
-// splitEvent is an event of a streamed answer.
-type splitEvent struct {
-	ID        string          `json:"id"`
-	Object    string          `json:"object"`
-	Created   int64           `json:"created,omitempty"`
-	Model     string          `json:"model"`
-	RequestID string          `json:"request_id"`
-	Choices   []splitChoice   `json:"choices"`
-	Usage     json.RawMessage `json:"usage,omitempty"`
-}
-
-type splitChoice struct {
-	Index        int     `json:"index"`
-	Delta        any     `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-// Split turns a whole answer into the events that a streamed one has: text, end and usage.
+// Split turns a whole answer into the events that a streamed one has: message, end and usage.
 func Split(whole []byte) ([]Piece, error) {
-	var a assembled
+	var a wholeAnswer
 	if err := json.Unmarshal(whole, &a); err != nil {
 		return nil, fmt.Errorf("split answer: %w", err)
 	}
-	event := splitEvent{ID: a.ID, Object: "chat.completion.chunk", Created: a.Created, Model: a.Model, RequestID: a.RequestID}
+	event := eventAnswer{ID: a.ID, Object: "chat.completion.chunk", Created: a.Created, Model: a.Model, RequestID: a.RequestID}
 	var out []Piece
 	for _, c := range a.Choices {
-		event.Choices = []splitChoice{{Index: c.Index, Delta: c.Message}}
-		out = append(out, piece(event, false))
-		event.Choices = []splitChoice{{Index: c.Index, Delta: struct{}{}, FinishReason: &c.FinishReason}}
-		out = append(out, piece(event, false))
+		numberCalls(c.Message)
+		event.Choices = []eventChoice{{Index: c.Index, Delta: c.Message, Logprobs: c.Logprobs}}
+		out = append(out, event.piece(false))
+		event.Choices = []eventChoice{{Index: c.Index, Delta: map[string]any{}, FinishReason: &c.FinishReason}}
+		out = append(out, event.piece(false))
 	}
-	event.Choices, event.Usage = []splitChoice{}, a.Usage
-	return append(out, piece(event, true)), nil
+	event.Choices, event.Usage = []eventChoice{}, a.Usage
+	return append(out, event.piece(true)), nil
 }
 
-func piece(e splitEvent, usage bool) Piece {
+func (e *eventAnswer) piece(usage bool) Piece {
 	data, _ := json.Marshal(e)
 	return Piece{Data: data, Usage: usage}
 }
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/internal/standin"
@@ -20,6 +22,8 @@
 
 const capTokens = 6
 
+func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
+
 // rig is an engine, a client and what the caller of a stream got.
 type rig struct {
 	engine *standin.Engine
@@ -31,7 +35,7 @@
 func newRig(progress time.Duration, dial dialFunc) *rig {
 	r := &rig{engine: standin.NewEngine(standin.EngineConfig{Models: []string{"m"}})}
 	r.server = httptest.NewServer(r.engine)
-	r.client = New(Config{ProgressTimeout: progress, Dial: dial})
+	r.client = New(Config{ProgressTimeout: progress, Dial: dial, Log: quiet()})
 	return r
 }
 
@@ -221,6 +225,25 @@
 			So(r.do("c", true).Status, ShouldEqual, Complete)
 			So(len(r.engine.Runs()), ShouldEqual, 2)
 		})
+		Convey("a stream on a used connection is found out by the shorter time, a new connection is not", func() {
+			r.client.cfg.ProgressTimeout, r.client.cfg.FirstByteTimeout = time.Hour, 50*time.Millisecond
+			r.engine.SetFaults(standin.EngineFaults{Delay: 200 * time.Millisecond})
+			So(r.do("a", true).Status, ShouldEqual, Complete)
+			So(r.client.count.resumed.Count(), ShouldEqual, 0)
+			mute.Store(true)
+			So(r.do("b", true).Reason, ShouldEqual, ReasonSilent)
+			So(r.client.count.discarded.Count(), ShouldEqual, 1)
+		})
+		Convey("an engine that only takes long to begin keeps its connections", func() {
+			r.client.cfg.ProgressTimeout, r.client.cfg.FirstByteTimeout = time.Hour, 50*time.Millisecond
+			So(r.do("a", true).Status, ShouldEqual, Complete)
+			r.engine.SetFaults(standin.EngineFaults{Delay: 200 * time.Millisecond})
+			r.got.Reset()
+			So(r.do("b", true).Status, ShouldEqual, Complete)
+			So(r.got.String(), ShouldEqual, expected())
+			So(r.client.count.discarded.Count(), ShouldEqual, 0)
+			So(len(r.engine.Runs()), ShouldEqual, 2)
+		})
 		Convey("a request that asks for a fresh connection never meets it", func() {
 			So(r.do("a", true).Status, ShouldEqual, Complete)
 			mute.Store(true)
@@ -258,7 +281,7 @@
 			w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		}))
 		defer s.Close()
-		client := New(Config{})
+		client := New(Config{Log: quiet()})
 		defer client.Close()
 		for i, method := range []string{"GET", "GET", "POST"} {
 			served.Store(0)
@@ -276,7 +299,7 @@
 	Convey("Given an engine that checks fencing", t, func() {
 		e := standin.NewEngine(standin.EngineConfig{Models: []string{"m"}, ChecksFencing: true, Slots: 3})
 		s := httptest.NewServer(e)
-		client := New(Config{})
+		client := New(Config{Log: quiet()})
 		Reset(func() { client.Close(); s.Close() })
 		ctx := context.Background()
 		Convey("its load, state and orders can be used", func() {
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -25,9 +25,11 @@
 	cancel    context.CancelCauseFunc
 	watch     *watch
 	conn      atomic.Pointer[countedConn]
-	before    int64
-	res       *http.Response
-	err       error
+	// quick says that the first byte of the response must come sooner than later ones.
+	quick  bool
+	before int64
+	res    *http.Response
+	err    error
 }
 
 // request is what an exchange sends.
@@ -38,12 +40,14 @@
 	header     http.Header
 	body       []byte
 	fresh      bool
+	// resumable says that the answer can be picked up on another connection.
+	resumable bool
 }
 
 // exchange sends a request once; net/http never repeats it. The caller must call close.
 func (c *HTTPClient) exchange(ctx context.Context, r request) *exchange {
 	l := c.link(r.base)
-	x := &exchange{client: c, url: r.base, transport: l.shared.Load()}
+	x := &exchange{client: c, url: r.base, transport: l.shared.Load(), quick: r.resumable}
 	if r.fresh {
 		x.transport = l.fresh
 	}
@@ -56,6 +60,9 @@
 	}
 	x.fill(req, r)
 	x.res, x.err = x.transport.RoundTrip(req)
+	if x.err == nil {
+		x.watch.setLimit(c.cfg.ProgressTimeout)
+	}
 	return x
 }
 
@@ -89,6 +96,9 @@
 			x.before = c.writes.Load()
 			x.conn.Store(c)
 		}
+		if info.Reused && x.quick {
+			x.watch.setLimit(x.client.cfg.FirstByteTimeout)
+		}
 	}}
 }
 
@@ -104,7 +114,9 @@
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.Is(cause, errSilent):
-		x.client.discard(x.url, x.transport)
+		if x.res != nil || !x.quick {
+			x.discard()
+		}
 		return ReasonSilent
 	case errors.Is(cause, context.DeadlineExceeded):
 		return ReasonDeadline
@@ -120,6 +132,9 @@
 	return ReasonReset
 }
 
+// discard replaces the connections that this one came from.
+func (x *exchange) discard() { x.client.discard(x.url, x.transport) }
+
 // body returns the response's body; reading it counts as progress.
 func (x *exchange) body() io.Reader { return &watchedReader{r: x.res.Body, watch: x.watch} }
 
@@ -134,14 +149,22 @@
 // watch calls a function when no progress was noted for a time.
 type watch struct {
 	timer clockwork.Timer
-	limit time.Duration
+	limit atomic.Int64
 }
 
 func newWatch(clock clockwork.Clock, limit time.Duration, f func()) *watch {
-	return &watch{timer: clock.AfterFunc(limit, f), limit: limit}
+	w := &watch{timer: clock.AfterFunc(limit, f)}
+	w.limit.Store(int64(limit))
+	return w
+}
+
+// setLimit changes the time and starts it anew.
+func (w *watch) setLimit(limit time.Duration) {
+	w.limit.Store(int64(limit))
+	w.progress()
 }
 
-func (w *watch) progress() { w.timer.Reset(w.limit) }
+func (w *watch) progress() { w.timer.Reset(time.Duration(w.limit.Load())) }
 func (w *watch) stop()     { w.timer.Stop() }
 
 type watchedReader struct {
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -155,6 +155,7 @@
 		v := e.look(j)
 		for ; sent < v.generated; sent++ {
 			if f.BreakAfter > 0 && sent-offset >= f.BreakAfter {
+				_ = flusher.Flush()
 				panic(http.ErrAbortHandler)
 			}
 			if f.Gap > 0 && sent == f.Gap {
