--- a/server/bill.go
+++ b/server/bill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"pumiceshelf/budget"
@@ -43,6 +44,12 @@
 	case quota.UnknownBudget:
 		return refuse(ReasonNoBudget, "budget "+b.ID.Budget+" is not in force").after(r.RetryAfter)
 	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return refuse(ReasonTooLate, "the deadline passed while tokens were asked for")
+	case ctx.Err() != nil:
+		return refuse(ReasonCallerGone, "the caller went away")
+	}
 	return refuse(ReasonOutOfReach, "budget "+b.ID.Budget+" cannot be reached now").after(r.RetryAfter)
 }
 
@@ -72,7 +79,7 @@
 		j.tell("usage unknown, billed at the bound")
 		return
 	}
-	if over := usage.Prompt > b.request.Bound || usage.Generated > b.request.Bound-usage.Prompt; over {
+	if usage.Prompt > b.request.Bound || usage.Generated > b.request.Bound-usage.Prompt {
 		j.server.meters.overBound.Inc(1)
 		j.server.cfg.Log.Warnf("server: %s used %d+%d tokens, over its bound of %d", b.request.RequestID, u.Prompt, u.Generated, b.request.Bound)
 		usage.Prompt = min(usage.Prompt, b.request.Bound)
--- a/server/deliver.go
+++ b/server/deliver.go
@@ -8,6 +8,7 @@
 
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
+	"pumiceshelf/invariant"
 )
 
 // deliver gives the caller the end of its request. An answer's last byte waits until it is settled and recorded;
@@ -43,6 +44,7 @@
 
 // close settles the budget and records the outcome of a keyed request.
 func (j *job) close(e end) {
+	invariant.Check(e.kind != idempotency.NotRun || !j.ran, "server", "request %s may have run and would be called not run", j.id)
 	start := j.server.cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(j.r.Context()), closeTimeout)
 	defer cancel()
--- a/server/run.go
+++ b/server/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
+	"pumiceshelf/invariant"
 )
 
 // end is how a request that was let run ended.
@@ -33,7 +35,7 @@
 	for {
 		t := j.admit(ctx)
 		if t.Outcome != admit.Admitted {
-			return j.giveUp(admissionRefusal(t))
+			return j.giveUp(admissionRefusal(ctx, t))
 		}
 		res := j.dispatch(t)
 		if e, final := j.judge(ctx, res); final {
@@ -53,7 +55,11 @@
 func (j *job) admit(ctx context.Context) admit.Ticket {
 	item := admit.Item{
 		RequestID: j.id, Customer: j.customer.ID, Weight: j.customer.Weight, Group: j.group(), Class: j.control.class,
-		Deadline: j.deadline, Bytes: len(j.body), Cost: 1,
+		Deadline: j.deadline, Bytes: int(j.held), Cost: 1,
+	}
+	if j.chat != nil {
+		// Only the rewritten body is still needed.
+		j.body = nil
 	}
 	target := admit.Target{Avoid: j.avoid, Once: !j.idempotent}
 	if j.chat != nil {
@@ -79,10 +85,13 @@
 	admit.Displaced: ReasonDisplaced, admit.Canceled: ReasonCallerGone, admit.NoCapacity: ReasonNoCapacity,
 }
 
-func admissionRefusal(t admit.Ticket) *refusal {
+func admissionRefusal(ctx context.Context, t admit.Ticket) *refusal {
 	reason, ok := admissionReasons[t.Outcome]
-	if !ok {
+	switch {
+	case !ok:
 		reason = ReasonNoCapacity
+	case t.Outcome == admit.Canceled && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = ReasonTooLate
 	}
 	return refuse(reason, "the request was not dispatched").after(t.RetryAfter)
 }
@@ -94,6 +103,7 @@
 		t.Done(admit.Result{})
 		return endpoint.Result{Status: endpoint.NotSent, Reason: endpoint.ReasonDial}
 	}
+	invariant.Check(!j.ran || j.idempotent, "server", "non-idempotent request %s would run again", j.id)
 	if j.bill != nil {
 		j.bill.endpoint = ep.ID
 	}
