Pace claims per shard in place of per instance

Cause: with 6 instances a claim waited 493 ms in the middle at 1,000 claims a second, since an instance that writes several shards shared one pace among them, and the bound on writes grew with instances. Change: each shard's groups are paced by themselves, 10 a second on average, 10 at once after a pause.

--- a/idempotency/harness_test.go
+++ b/idempotency/harness_test.go
@@ -72,7 +72,7 @@
 		c(&cfg)
 	}
 	k := New(cfg)
-	k.writes.SetLimit(rate.Inf)
+	k.pace = rate.Inf
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { _ = k.Run(ctx) })
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -28,10 +28,11 @@
 )
 
 const (
-	// writesPerSecond bounds the groups of claims that this instance writes per second on average.
-	writesPerSecond = 10
-	// writeBurst is how many may be written at once after a pause.
-	writeBurst = 20
+	// groupsPerSecond bounds the groups of claims decided per shard and second on average, so that writes to the platform
+	// grow neither with requests nor with instances.
+	groupsPerSecond = 10
+	// groupBurst is how many may be decided at once after a pause.
+	groupBurst = 10
 	// unloadAfter is how long a shard's state is kept without use.
 	unloadAfter = 10 * time.Minute
 )
@@ -60,7 +61,7 @@
 	base   context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
-	writes *rate.Limiter
+	pace   rate.Limit
 
 	local   *local
 	issued  *issuedBook
@@ -89,7 +90,7 @@
 		count:  newCounters(cfg.Metrics),
 		base:   base,
 		cancel: cancel,
-		writes: rate.NewLimiter(writesPerSecond, writeBurst),
+		pace:   groupsPerSecond,
 		local:  newLocal(),
 		shards: make(map[uint32]*shard),
 		routes: make(map[uint32]*batcher),
@@ -188,14 +189,6 @@
 	}
 }
 
-// paceWrites waits for this instance's share of writes.
-func (k *Keeper) paceWrites(ctx context.Context) {
-	now := k.cfg.Clock.Now()
-	if d := k.writes.ReserveN(now, 1).DelayFrom(now); d > 0 {
-		k.sleep(ctx, d)
-	}
-}
-
 // retryAfter spreads callers that are told to ask again.
 func retryAfter() time.Duration { return time.Second + mathrand.N(2*time.Second) }
 
--- a/idempotency/shard.go
+++ b/idempotency/shard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"pumiceshelf/api"
@@ -35,8 +36,9 @@
 // shard decides claims of one shard by conditional updates of its head object.
 type shard struct {
 	*batcher
-	keeper *Keeper
-	number uint32
+	keeper  *Keeper
+	number  uint32
+	limiter *rate.Limiter
 
 	// state guards what follows.
 	state   sync.Mutex
@@ -50,12 +52,20 @@
 }
 
 func (k *Keeper) newShard(number uint32) *shard {
-	s := &shard{keeper: k, number: number}
+	s := &shard{keeper: k, number: number, limiter: rate.NewLimiter(k.pace, groupBurst)}
 	s.reset()
-	s.batcher = &batcher{flush: s.decide, pace: k.paceWrites, base: k.base, work: &k.work}
+	s.batcher = &batcher{flush: s.decide, pace: s.wait, base: k.base, work: &k.work}
 	return s
 }
 
+// wait lets proposals gather until the shard's next group may be decided.
+func (s *shard) wait(ctx context.Context) {
+	now := s.keeper.cfg.Clock.Now()
+	if d := s.limiter.ReserveN(now, 1).DelayFrom(now); d > 0 {
+		s.keeper.sleep(ctx, d)
+	}
+}
+
 func (s *shard) reset() {
 	s.book = claim.NewBook()
 	s.version = 0
