--- a/idempotency/harness_test.go
+++ b/idempotency/harness_test.go
@@ -36,7 +36,9 @@
 	keepers map[instance.Incarnation]*Keeper
 	members map[instance.Incarnation]*peer.Member
 	// cut holds instances that no other reaches.
-	cut   map[instance.Incarnation]bool
+	cut map[instance.Incarnation]bool
+	// side tells, while a cut between domains lasts, on which side of it each instance is.
+	side  map[instance.Incarnation]int
 	stops []func()
 }
 
@@ -46,6 +48,7 @@
 		keepers: make(map[instance.Incarnation]*Keeper),
 		members: make(map[instance.Incarnation]*peer.Member),
 		cut:     make(map[instance.Incarnation]bool),
+		side:    make(map[instance.Incarnation]int),
 	}
 }
 
@@ -148,7 +151,8 @@
 func (c *fleetConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
 	f := c.end.fleet
 	f.mu.Lock()
-	k, cut := f.keepers[c.to], f.cut[c.to] || f.cut[c.end.incarnation()]
+	from := c.end.incarnation()
+	k, cut := f.keepers[c.to], f.cut[c.to] || f.cut[from] || f.side[c.to] != f.side[from]
 	f.mu.Unlock()
 	if cut {
 		return errors.New("cut")
