Number attempts, since requests with the same key share their id

Cause: the server derives the request id of a non-idempotent request from its key, so that an instance took an earlier attempt's claim for the present one and let it run again once it had forgotten how that ended; after a request that did not run, it refused the key instead. Change: each claim carries a number that its owner gives to one attempt alone; rules, waits and endings go by it. Measured: with the tests' requests given ids as the server gives them, TestOwnersThatForgot failed before (a second run was let through) and passes now; so do go test -race ./claim ./idempotency. Conclusion: at most once no longer rests on how request ids are made.

--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -17,6 +17,7 @@
 type request struct {
 	key        KeyHash
 	id, owner  string
+	attempt    uint64
 	waiting    bool
 	granted    bool
 	dispatched bool
@@ -90,7 +91,7 @@
 
 func (m *machine) propose(kind api.ClaimProposalKind, r *request, state api.ClaimState) {
 	m.flying = append(m.flying, &api.ClaimProposal{Kind: kind, Claim: &api.Claim{
-		KeyHash: r.key[:], BodyHash: r.key[:], RequestId: r.id, Owner: r.owner, State: state,
+		KeyHash: r.key[:], BodyHash: r.key[:], RequestId: r.id, Attempt: r.attempt, Owner: r.owner, State: state,
 	}})
 }
 
@@ -101,6 +102,7 @@
 		owner:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner"),
 		waiting: true,
 	}
+	r.attempt = uint64(m.next)
 	if m.crashed[r.owner] {
 		t.Skip("crashed")
 	}
@@ -276,6 +278,7 @@
 		w := m.writers[0]
 		step := func(t *rapid.T) {
 			r := &request{key: HashKey("c", rapid.StringMatching("[a-h]").Draw(t, "key")), id: m.fresh("request"), owner: "a"}
+			r.attempt = uint64(m.next)
 			m.requests[r.id] = r
 			kinds := []api.ClaimProposalKind{
 				api.ClaimProposalKind_CLAIM_PROPOSAL_KIND_CLAIM, api.ClaimProposalKind_CLAIM_PROPOSAL_KIND_RECORD,
--- a/claim/rules.go
+++ b/claim/rules.go
@@ -14,7 +14,7 @@
 // Apply decides a proposal against the key's present claim, nil for none. It returns the claim after the decision,
 // which is present itself if nothing changes. Neither argument is changed.
 //
-// A claim stands in every state but NOT_RUN. While it stands its key is never claimed for another request.
+// A claim stands in every state but NOT_RUN. While it stands its key is never claimed for another attempt.
 func Apply(present *api.Claim, p *api.ClaimProposal) *api.Claim {
 	next := decide(present, p)
 	checkStanding(present, next)
@@ -36,10 +36,10 @@
 	}
 }
 
-// take claims a key that is free. A request whose claim was given back is not given the key again: the proposal is an
+// take claims a key that is free. An attempt whose claim was given back is not given the key again: the proposal is an
 // old one that was delayed.
 func take(present, wanted *api.Claim) *api.Claim {
-	free := present == nil || (present.GetState() == api.ClaimState_CLAIM_STATE_NOT_RUN && !sameRequest(present, wanted))
+	free := present == nil || (present.GetState() == api.ClaimState_CLAIM_STATE_NOT_RUN && !sameAttempt(present, wanted))
 	if !free {
 		return present
 	}
@@ -50,10 +50,10 @@
 	return next
 }
 
-// finish records the end of the request that holds the claim.
+// finish records the end of the attempt that holds the claim.
 // An answer may still follow UNKNOWN, but the key is not given back any more once someone was told that it may have run.
 func finish(present, end *api.Claim) *api.Claim {
-	if present == nil || !sameRequest(present, end) {
+	if present == nil || !sameAttempt(present, end) {
 		return present
 	}
 	state := present.GetState()
@@ -75,7 +75,7 @@
 
 // seal makes a claim whose owner cannot be asked UNKNOWN, so that the owner, if it lives on, cannot give the key back.
 func seal(present, seen *api.Claim) *api.Claim {
-	if present == nil || !sameRequest(present, seen) || present.GetState() != api.ClaimState_CLAIM_STATE_CLAIMED {
+	if present == nil || !sameAttempt(present, seen) || present.GetState() != api.ClaimState_CLAIM_STATE_CLAIMED {
 		return present
 	}
 	next := proto.Clone(present).(*api.Claim)
@@ -91,8 +91,8 @@
 	return finish(present, made)
 }
 
-func sameRequest(a, b *api.Claim) bool {
-	return a.GetRequestId() == b.GetRequestId() && a.GetOwner() == b.GetOwner()
+func sameAttempt(a, b *api.Claim) bool {
+	return a.GetAttempt() == b.GetAttempt() && a.GetOwner() == b.GetOwner()
 }
 
 // Stands says that the claim keeps its key from being claimed for another request.
@@ -104,7 +104,7 @@
 	if !Stands(before) || before == after {
 		return
 	}
-	invariant.Check(after != nil && sameRequest(before, after), part,
+	invariant.Check(after != nil && sameAttempt(before, after), part,
 		"claim of request %s by %s was replaced while it stood", before.GetRequestId(), before.GetOwner())
 	back := before.GetState() != api.ClaimState_CLAIM_STATE_CLAIMED && !Stands(after)
 	invariant.Check(!back, part, "claim of request %s was given back from state %s", before.GetRequestId(), before.GetState())
--- a/idempotency/begin.go
+++ b/idempotency/begin.go
@@ -17,6 +17,7 @@
 	if r.Wait <= 0 {
 		r.Wait = k.claimWait()
 	}
+	r.attempt = k.attempts.Add(1)
 	ctx, cancel := k.within(ctx, r.Wait)
 	defer cancel()
 	e, lead := k.local.open(r)
@@ -140,6 +141,7 @@
 			KeyHash:   r.Key[:],
 			BodyHash:  r.Body[:],
 			RequestId: r.RequestID,
+			Attempt:   r.attempt,
 			Owner:     string(k.self),
 			State:     api.ClaimState_CLAIM_STATE_CLAIMED,
 			UnixMs:    k.cfg.Clock.Now().UnixMilli(),
@@ -167,7 +169,7 @@
 
 func (k *Keeper) claimed(ctx context.Context, r Request, c *api.Claim) Verdict {
 	own := c.GetOwner() == string(k.self)
-	if own && c.GetRequestId() == r.RequestID {
+	if own && c.GetAttempt() == r.attempt {
 		k.tell(r.RequestID, "key claimed")
 		return Verdict{Decision: Run}
 	}
@@ -179,7 +181,7 @@
 
 // formerOwn settles a claim of this incarnation for an earlier request that is no longer in progress here.
 func (k *Keeper) formerOwn(ctx context.Context, r Request, c *api.Claim) Verdict {
-	_, former := k.local.find(r.Key, c.GetRequestId())
+	_, former := k.local.find(r.Key, c.GetAttempt())
 	if former == nil {
 		return k.seal(ctx, r, c)
 	}
@@ -330,8 +332,7 @@
 // release gives up a claim that may yet be made, so that the key becomes free again.
 func (k *Keeper) release(r Request) {
 	k.local.giveUp(r)
-	end := &ending{key: r.Key, body: r.Body, requestID: r.RequestID, outcome: Outcome{Kind: NotRun}}
-	k.pending.add(k.ending(end, k.cfg.Clock.Now().UnixMilli(), r.Issued))
+	k.pending.add(k.ending(endingOf(r, Outcome{Kind: NotRun}), k.cfg.Clock.Now().UnixMilli(), r.Issued))
 }
 
 // ending is the proposal that records the end of a request of this incarnation.
@@ -342,6 +343,7 @@
 			KeyHash:   e.key[:],
 			BodyHash:  e.body[:],
 			RequestId: e.requestID,
+			Attempt:   e.attempt,
 			Owner:     string(k.self),
 			State:     stateOf(e.outcome.Kind),
 			UnixMs:    unixMs,
--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,11 +25,11 @@
 	defer f.stop()
 	k := f.start("a", func(c *Config) { c.Settings.ClaimWait = durationpb.New(time.Minute) })
 	ctx := context.Background()
+	var next atomic.Int64
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			r := dose("k", "body")
-			r.Key = claim.HashKey("c", r.RequestID)
+			r := dose(fmt.Sprint(next.Add(1)), "body")
 			r.Wait = time.Minute
 			if v := k.Begin(ctx, r); v.Decision != Run {
 				b.Fatalf("decision %d", v.Decision)
@@ -129,8 +130,7 @@
 		_ = limiter.Wait(ctx)
 		k := keepers[n%len(keepers)]
 		work.Go(func() {
-			r := dose("k", "body")
-			r.Key = claim.HashKey("c", r.RequestID)
+			r := dose(fmt.Sprint(n), "body")
 			began := time.Now()
 			if k.Begin(ctx, r).Decision != Run {
 				b.Errorf("not let run")
--- a/idempotency/cut_test.go
+++ b/idempotency/cut_test.go
@@ -49,8 +49,9 @@
 		So(a.Begin(ctx, dose("fixes the layout", "body")).Decision, ShouldEqual, Run)
 		r := dose("k", "body")
 		So(a.Begin(ctx, r).Decision, ShouldEqual, Run)
-		a.local.refuse(a.local.running(r.Key), Verdict{Decision: Unavailable})
-		a.local.giveUp(r)
+		e := a.local.running(r.Key)
+		a.local.refuse(e, Verdict{Decision: Unavailable})
+		a.local.giveUp(e.request)
 
 		Convey("its owner runs a repeat", func() {
 			So(a.Begin(ctx, dose("k", "body")).Decision, ShouldEqual, Run)
@@ -116,7 +117,7 @@
 			k := claim.ParseKey("c", text)
 			c, _ := book.propose(&api.ClaimProposal{
 				Kind:   api.ClaimProposalKind_CLAIM_PROPOSAL_KIND_CLAIM,
-				Claim:  &api.Claim{KeyHash: k.Hash[:], RequestId: text, Owner: "a~1"},
+				Claim:  &api.Claim{KeyHash: k.Hash[:], Attempt: k.Issued.GetNumber(), Owner: "a~1"},
 				Issued: k.Issued,
 			})
 			return c
--- a/idempotency/finish.go
+++ b/idempotency/finish.go
@@ -27,7 +27,7 @@
 
 // record makes an outcome durable, in the background if ctx ends first.
 func (k *Keeper) record(ctx context.Context, r Request, o Outcome) {
-	end := k.ending(&ending{key: r.Key, body: r.Body, requestID: r.RequestID, outcome: o}, k.cfg.Clock.Now().UnixMilli(), r.Issued)
+	end := k.ending(endingOf(r, o), k.cfg.Clock.Now().UnixMilli(), r.Issued)
 	if r.Form == claim.Issued {
 		k.recordIssued(ctx, r, end)
 		return
--- a/idempotency/gate.go
+++ b/idempotency/gate.go
@@ -45,6 +45,9 @@
 	// Wait is the longest time the caller can wait for a decision or for a request that it joins; zero for the
 	// settings' claim wait.
 	Wait time.Duration
+
+	// attempt is the number that Begin gives to the request. Requests with the same key may share RequestID.
+	attempt uint64
 }
 
 // OutcomeKind is how a keyed request ended.
--- a/idempotency/harness_test.go
+++ b/idempotency/harness_test.go
@@ -176,16 +176,8 @@
 	return fmt.Errorf("no method %s", rpc)
 }
 
-var nextRequest struct {
-	sync.Mutex
-	n int
-}
-
-// dose is a non-idempotent request with a key and body.
+// dose is a non-idempotent request with a key and body. As in the server, requests with the same key share their id.
 func dose(key, body string) Request {
-	nextRequest.Lock()
-	defer nextRequest.Unlock()
-	nextRequest.n++
 	k := claim.ParseKey("al-wusta", key)
 	return Request{
 		Key:       k.Hash,
@@ -193,7 +185,7 @@
 		Issued:    k.Issued,
 		KeyTime:   k.Time,
 		Body:      claim.HashBody("POST", "/v1/chat/completions", []byte(body)),
-		RequestID: fmt.Sprintf("request-%d", nextRequest.n),
+		RequestID: "request of " + key,
 		Wait:      testWait,
 	}
 }
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -9,6 +9,7 @@
 	mathrand "math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -61,7 +62,9 @@
 	base   context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
-	pace   rate.Limit
+	// attempts numbers the requests that Begin was asked for.
+	attempts atomic.Uint64
+	pace     rate.Limit
 
 	local   *local
 	issued  *issuedBook
--- a/idempotency/local.go
+++ b/idempotency/local.go
@@ -29,9 +29,15 @@
 	key       claim.KeyHash
 	body      claim.BodyHash
 	requestID string
+	attempt   uint64
 	outcome   Outcome
 }
 
+// endingOf is the end of a request.
+func endingOf(r Request, o Outcome) *ending {
+	return &ending{key: r.Key, body: r.Body, requestID: r.RequestID, attempt: r.attempt, outcome: o}
+}
+
 // local holds the keyed requests in progress on this instance and its most recent outcomes.
 type local struct {
 	mu      sync.Mutex
@@ -86,7 +92,7 @@
 	e := l.entries[key]
 	invariant.Check(e != nil && e.running, "claim", "a request finished that was not let run")
 	delete(l.entries, key)
-	l.keep(ending{key: key, body: e.request.Body, requestID: e.request.RequestID, outcome: o})
+	l.keep(endingOf(e.request, o))
 	e.verdict = verdictOf(o, e.request.RequestID)
 	close(e.done)
 }
@@ -95,7 +101,7 @@
 func (l *local) giveUp(r Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.keep(ending{key: r.Key, body: r.Body, requestID: r.RequestID, outcome: Outcome{Kind: NotRun}})
+	l.keep(endingOf(r, Outcome{Kind: NotRun}))
 }
 
 // running returns the entry of a running request, or nil.
@@ -108,14 +114,14 @@
 	return nil
 }
 
-// find returns the entry or the ending of one request, if this instance knows it.
-func (l *local) find(key claim.KeyHash, requestID string) (*entry, *ending) {
+// find returns the entry or the ending of one attempt, if this instance knows it.
+func (l *local) find(key claim.KeyHash, attempt uint64) (*entry, *ending) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[key]; e != nil && e.request.RequestID == requestID {
+	if e := l.entries[key]; e != nil && e.request.attempt == attempt {
 		return e, nil
 	}
-	if el := l.recent[key]; el != nil && el.Value.(*ending).requestID == requestID {
+	if el := l.recent[key]; el != nil && el.Value.(*ending).attempt == attempt {
 		return nil, el.Value.(*ending)
 	}
 	return nil, nil
@@ -132,11 +138,11 @@
 	return nil
 }
 
-func (l *local) keep(e ending) {
+func (l *local) keep(e *ending) {
 	if el := l.recent[e.key]; el != nil {
 		l.drop(el)
 	}
-	l.recent[e.key] = l.order.PushFront(&e)
+	l.recent[e.key] = l.order.PushFront(e)
 	l.bytes += len(e.outcome.Body)
 	for l.order.Len() > recentLimit || (l.bytes > recentBytes && l.order.Len() > 1) {
 		l.drop(l.order.Back())
--- a/idempotency/naive_test.go
+++ b/idempotency/naive_test.go
@@ -100,13 +100,18 @@
 // engineLog judges what ran.
 type engineLog struct {
 	mu   sync.Mutex
+	next int
 	runs map[claim.KeyHash][]string
 }
 
-func (l *engineLog) run(r Request) {
+// run records one run and returns its answer, which no other run has.
+func (l *engineLog) run(r Request) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[r.Key] = append(l.runs[r.Key], r.RequestID)
+	l.next++
+	answer := fmt.Sprintf("answer %d", l.next)
+	l.runs[r.Key] = append(l.runs[r.Key], answer)
+	return answer
 }
 
 // faultStep breaks or mends something of a fleet.
@@ -208,8 +213,7 @@
 		log.run(r)
 		k.Finish(ctx, r.Key, Outcome{Kind: Unknown})
 	default:
-		log.run(r)
-		k.Finish(ctx, r.Key, answered(r.RequestID))
+		k.Finish(ctx, r.Key, answered(log.run(r)))
 	}
 }
 
@@ -218,7 +222,7 @@
 	defer log.mu.Unlock()
 	ran := log.runs[r.Key]
 	if v.Outcome.Kind == Answered && (len(ran) != 1 || ran[0] != string(v.Outcome.Body)) {
-		t.Errorf("answer of %s recorded, but %v ran", v.Outcome.Body, ran)
+		t.Errorf("%s recorded, but %v ran", v.Outcome.Body, ran)
 	}
 	if v.Outcome.Kind == NotRun && len(ran) > 0 {
 		t.Errorf("said not to have run, but %v ran", ran)
--- a/idempotency/route.go
+++ b/idempotency/route.go
@@ -222,10 +222,10 @@
 		return nil, err
 	}
 	resp, err := api.NewDRPCClaimPeerClient(conn).Await(ctx, &api.AwaitRequest{
-		KeyHash:   r.Key[:],
-		Owner:     string(owner),
-		WaitMs:    k.remaining(ctx),
-		RequestId: c.GetRequestId(),
+		KeyHash: r.Key[:],
+		Owner:   string(owner),
+		WaitMs:  k.remaining(ctx),
+		Attempt: c.GetAttempt(),
 	})
 	if err != nil {
 		return nil, err
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -65,13 +65,13 @@
 		return &api.AwaitResponse{}, nil
 	}
 	key := claim.KeyHash(req.GetKeyHash())
-	e, end := k.local.find(key, req.GetRequestId())
+	e, end := k.local.find(key, req.GetAttempt())
 	if e != nil {
 		wait := time.Duration(req.GetWaitMs()) * time.Millisecond
 		if !k.waitFor(ctx, e, wait) {
 			return &api.AwaitResponse{Claim: k.claimOf(e.request, api.ClaimState_CLAIM_STATE_CLAIMED)}, nil
 		}
-		_, end = k.local.find(key, req.GetRequestId())
+		_, end = k.local.find(key, req.GetAttempt())
 	}
 	if end == nil {
 		return &api.AwaitResponse{}, nil
