Issue idempotency keys to callers and pass their form to the gate

Cause: the gate decides issued keys without the platform, but callers had no way to get them. Change: POST /v1/idempotency-keys?count=N issues keys; the server passes a key's form, and the gate's time to ask again with an unknown outcome. Additions in server/ and node/, which other parts of the team own. Measured: go test ./server passes.

--- a/idempotency/gate.go
+++ b/idempotency/gate.go
@@ -83,6 +83,12 @@
 	OriginalID string
 }
 
+// Issuer issues idempotency keys. Implementations are safe for concurrent use.
+type Issuer interface {
+	// Issue returns new keys for a customer.
+	Issue(customer string, n int) []string
+}
+
 // Gate decides keyed requests. Implementations are safe for concurrent use.
 type Gate interface {
 	// Begin decides a request. For a non-idempotent one, Run is returned only after the claim is durable.
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -80,6 +80,7 @@
 
 var (
 	_ Gate                    = (*Keeper)(nil)
+	_ Issuer                  = (*Keeper)(nil)
 	_ api.DRPCClaimPeerServer = (*Keeper)(nil)
 )
 
--- a/node/build.go
+++ b/node/build.go
@@ -248,6 +248,7 @@
 		Bundles:   p.bundles,
 		Keeper:    p.quota,
 		Gate:      p.gate,
+		Keys:      p.gate,
 		Admitter:  p.admission,
 		Endpoints: p.endpoints,
 		Retries:   route.NewRetryBudget(c.Settings.Route.RetryPercent, c.Metrics),
--- a/server/job.go
+++ b/server/job.go
@@ -66,13 +66,8 @@
 
 // understand authenticates, reads and checks the request.
 func (j *job) understand() *refusal {
-	j.snapshot = j.server.cfg.Bundles.Current()
-	hash, ok := bearer(j.r.Header)
-	if ok {
-		j.customer = j.snapshot.CustomerByKey(hash)
-	}
-	if j.customer == nil {
-		return refuse(ReasonUnauthenticated, "the Authorization header must carry a customer's bearer token")
+	if f := j.authenticate(); f != nil {
+		return f
 	}
 	c, f := parseControl(j.r.Header)
 	if f != nil {
@@ -94,6 +89,19 @@
 	return nil
 }
 
+// authenticate finds the customer whose token the request carries.
+func (j *job) authenticate() *refusal {
+	j.snapshot = j.server.cfg.Bundles.Current()
+	hash, ok := bearer(j.r.Header)
+	if ok {
+		j.customer = j.snapshot.CustomerByKey(hash)
+	}
+	if j.customer == nil {
+		return refuse(ReasonUnauthenticated, "the Authorization header must carry a customer's bearer token")
+	}
+	return nil
+}
+
 // target finds what the path names.
 func (j *job) target() *refusal {
 	path := j.r.URL.Path
--- a/server/key.go
+++ b/server/key.go
@@ -13,8 +13,12 @@
 
 // begin asks the gate about the key. It returns false when the caller has been answered.
 func (j *job) begin() bool {
+	key := claim.ParseKey(j.customer.ID, j.control.key)
 	v := j.server.cfg.Gate.Begin(j.r.Context(), idempotency.Request{
-		Key:          j.key,
+		Key:          key.Hash,
+		Form:         key.Form,
+		Issued:       key.Issued,
+		KeyTime:      key.Time,
 		Body:         claim.HashBody(j.r.Method, j.r.URL.RequestURI(), j.body),
 		RequestID:    j.id,
 		Idempotent:   j.idempotent,
@@ -41,7 +45,7 @@
 	case idempotency.Mismatch:
 		j.refuse(refuse(ReasonKeyMismatch, "the key belongs to a request with another method, path or body"))
 	case idempotency.UnknownOutcome:
-		j.refuse(earlierUnknown())
+		j.refuse(earlierUnknown().after(v.RetryAfter))
 	default:
 		j.refuse(refuse(ReasonClaimUnavailable, "the key could not be claimed; nothing ran").after(v.RetryAfter))
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -57,6 +57,8 @@
 	Bundles   bundle.Source
 	Keeper    quota.Keeper
 	Gate      idempotency.Gate
+	// Keys issues idempotency keys; none are issued when nil.
+	Keys      idempotency.Issuer
 	Admitter  admit.Admitter
 	Endpoints endpoint.Client
 	Retries   Retries
@@ -127,6 +129,10 @@
 		j.refuse(f)
 		return
 	}
+	if r.URL.Path == keysPath && s.cfg.Keys != nil {
+		j.issueKeys()
+		return
+	}
 	j.serve()
 }
 
