Spill over only on reports that show the burst

Change: while its own domain works, an instance goes elsewhere only by reports taken after its own busy period began; when its own domain is gone, at once. Conclusion: kept for what it prevents; to be measured on a quiet machine.

--- a/route/choose.go
+++ b/route/choose.go
@@ -53,6 +53,8 @@
 	target admit.Target
 	random uint64
 	policy policy
+	// ownWorks says that an endpoint of the own domain works but has no room.
+	ownWorks bool
 }
 
 // next returns the next random number.
@@ -71,6 +73,10 @@
 		anyWorks = anyWorks || works
 		if s == nil {
 			sd = &g.away
+			c.ownWorks = works
+			if works {
+				g.busy.observe(c.now)
+			}
 			s, _, works = c.chooseSide(g, sd)
 			why = bySpill
 			anyWorks = anyWorks || works
@@ -78,7 +84,7 @@
 		if s == nil {
 			break
 		}
-		if s.take(s.room(c.now, sd.own, sd.sharers)) {
+		if s.take(s.room(c.now, sd, c.ownWorks)) {
 			return choice{state: s, kind: why, availability: admit.Chosen}
 		}
 	}
@@ -207,7 +213,7 @@
 }
 
 func (c *chooser) hasRoom(s *state, sd *side) bool {
-	return s.inFlight.Load() < s.room(c.now, sd.own, sd.sharers)
+	return s.inFlight.Load() < s.room(c.now, sd, c.ownWorks)
 }
 
 // eligible says whether the endpoint may be given this request.
--- a/route/state.go
+++ b/route/state.go
@@ -57,22 +57,26 @@
 
 // room returns how many requests this instance may have in flight at the endpoint. At an endpoint of its own domain it
 // has its share of the limit, at least one, and may borrow its portion of the places that the last report showed free.
-// Elsewhere it has only what it may borrow.
-func (s *state) room(now time.Time, own bool, sh sharers) int64 {
+// Elsewhere it has only what it may borrow, and while its own domain works, only on a report that shows its busy period.
+func (s *state) room(now time.Time, sd *side, ownWorks bool) int64 {
 	limit := s.limit.get()
-	var share int64
-	if own {
-		share = int64(max(1, sh.portion(limit, s.seed)))
-	}
 	r := s.report.Load()
-	if !r.fresh(now) {
-		if own {
-			return share
-		}
-		return int64(sh.portion(limit, s.seed))
+	fresh := r.fresh(now)
+	if !sd.own && ownWorks && !(fresh && sd.busy.shown(r)) {
+		return 0
+	}
+	portion := int64(sd.sharers.portion(limit, s.seed))
+	if sd.own {
+		portion = max(1, portion)
+	}
+	if !fresh {
+		return portion
+	}
+	borrowed := r.own + int64(sd.sharers.portion(limit-int(r.total), s.seed))
+	if sd.own {
+		return max(portion, borrowed)
 	}
-	free := limit - int(r.total)
-	return max(share, r.own+int64(sh.portion(free, s.seed)))
+	return borrowed
 }
 
 // load returns the estimated requests at the endpoint over its limit, in thousandths: the last report corrected by this
--- a/route/table.go
+++ b/route/table.go
@@ -15,6 +15,8 @@
 	seeds   []uint64
 	own     bool
 	sharers sharers
+	// busy is the group's, for the side elsewhere.
+	busy *busy
 	// pace is the median of the endpoints', in nanoseconds.
 	pace atomic.Int64
 }
@@ -29,6 +31,7 @@
 	name string
 	own  side
 	away side
+	busy busy
 	// turn counts choices, for round robin.
 	turn atomic.Uint64
 	// room is the last count of places, at roomAt in Unix nanoseconds.
@@ -45,20 +48,25 @@
 	if at != 0 && now.UnixNano()-at < int64(roomLifetime) {
 		return int(g.room.Load())
 	}
-	n := g.own.places(now) + g.away.places(now)
+	n, works := g.own.places(now, false)
+	away, _ := g.away.places(now, works)
+	n += away
 	g.room.Store(n)
 	g.roomAt.Store(now.UnixNano())
 	return int(n)
 }
 
-func (s *side) places(now time.Time) int64 {
+// places returns the room at the side's endpoints and whether any of them works.
+func (s *side) places(now time.Time, ownWorks bool) (int64, bool) {
 	var n int64
+	works := false
 	for _, e := range s.states {
 		if e.usable(now) {
-			n += e.room(now, s.own, s.sharers)
+			works = true
+			n += e.room(now, s, ownWorks)
 		}
 	}
-	return n
+	return n, works
 }
 
 // observePace keeps the median paces of both sides.
@@ -123,11 +131,15 @@
 
 // pressed says whether this instance used at least half of its room at an endpoint when a request there ended.
 func (t *table) pressed(now time.Time, s *state) bool {
-	own, sh := s.domain == t.fleet.domain, t.fleet.inFleet
-	if own {
-		sh = t.fleet.inDomain
+	used := 2 * (s.inFlight.Load() + 1)
+	for _, g := range t.memberships[s] {
+		sd := &g.away
+		if s.domain == t.fleet.domain {
+			sd = &g.own
+		}
+		return used >= s.room(now, sd, false)
 	}
-	return 2*(s.inFlight.Load()+1) >= s.room(now, own, sh)
+	return false
 }
 
 func (t *table) addState(e *bundle.Endpoint, old *table, initial uint32) {
@@ -147,7 +159,7 @@
 	}
 	g := &group{name: name}
 	g.own.own, g.own.sharers = true, f.inDomain
-	g.away.sharers = f.inFleet
+	g.away.sharers, g.away.busy = f.inFleet, &g.busy
 	for _, e := range snap.Group(name) {
 		s := t.states[e.ID]
 		if e.Domain == f.domain {
