--- a/admit/fair.go
+++ b/admit/fair.go
@@ -15,7 +15,6 @@
 	sequence uint64
 	index    int
 	waiting  byDeadline
-	work     time.Duration
 }
 
 // excess is the number of requests that wait, over the customer's weight.
@@ -79,7 +78,6 @@
 	}
 	w.customer = c
 	heap.Push(&c.waiting, w)
-	c.work += w.work
 	q.work += w.work
 	q.waiting++
 }
@@ -104,7 +102,6 @@
 func (q *classQueue) remove(w *waiter) {
 	c := w.customer
 	heap.Remove(&c.waiting, w.deadlineIndex)
-	c.work -= w.work
 	q.work -= w.work
 	q.waiting--
 	if len(c.waiting) == 0 {
--- a/admit/group.go
+++ b/admit/group.go
@@ -27,6 +27,8 @@
 	demandAt time.Time
 	service  estimator
 	bytes    int
+	// learnt says that service times came in since the waiting requests were last estimated.
+	learnt bool
 }
 
 func newGroupQueue() *groupQueue {
@@ -52,6 +54,27 @@
 	invariant.Check(g.bytes >= 0, "admit", "waiting requests hold %d bytes", g.bytes)
 }
 
+// estimate fills in what is expected of a request.
+func (g *groupQueue) estimate(w *waiter) {
+	w.work = g.service.expected(w.item.Cost)
+	w.latestStart = w.item.Deadline.Add(-g.service.upper(w.item.Cost))
+}
+
+// reestimate brings what is expected of the waiting requests up to date.
+func (g *groupQueue) reestimate() {
+	if !g.learnt {
+		return
+	}
+	g.learnt = false
+	for _, w := range g.expiry {
+		q := &g.classes[w.item.Class]
+		q.work -= w.work
+		g.estimate(w)
+		q.work += w.work
+	}
+	heap.Init(&g.expiry)
+}
+
 // head returns the request to dispatch next, given how many the group may run at once; nil if none may go.
 func (g *groupQueue) head(now time.Time, places int) *waiter {
 	for c := Classes - 1; c > 0; c-- {
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -154,7 +154,7 @@
 				}
 			case 5:
 				if len(inFlight) > 0 {
-					q.finish(now, inFlight[0], Result{})
+					q.finish(now, inFlight[0], Result{}, 1000)
 					inFlight = inFlight[1:]
 				}
 			}
@@ -212,7 +212,7 @@
 			for i := range b.N {
 				w := q.group("g").head(epoch, 1<<20)
 				q.take(epoch, w)
-				q.finish(epoch, w.item, Result{})
+				q.finish(epoch, w.item, Result{}, 16)
 				q.push(epoch, &waiter{item: benchItem(i)}, 16)
 			}
 			b.ReportMetric(held, "B/waiting")
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pumiceshelf/invariant"
@@ -41,15 +43,14 @@
 	g := q.group(w.item.Group)
 	q.prepare(g, now, w)
 	if now.Add(g.waitFor(w.item, places)).After(w.latestStart) {
+		g.service.doubt(now, w.item.Cost)
 		return TooLate, nil
 	}
 	displaced, refused := q.makeRoom(g, w)
 	if refused != 0 {
 		return refused, displaced
 	}
-	g.insert(w)
-	q.bytes += w.item.Bytes
-	q.waiting++
+	q.insert(g, w)
 	q.check(g, w.item.Class)
 	return 0, displaced
 }
@@ -59,8 +60,7 @@
 	q.sequence++
 	w.sequence = q.sequence
 	w.arrived = now
-	w.work = g.service.expected(now, w.item.Cost)
-	w.latestStart = w.item.Deadline.Add(-g.service.upper(now, w.item.Cost))
+	g.estimate(w)
 	w.deadlineIndex, w.expiryIndex = -1, -1
 }
 
@@ -133,17 +133,50 @@
 	if !now.Before(item.Deadline) {
 		return true
 	}
-	return now.Add(q.group(item.Group).service.expected(now, item.Cost)).After(item.Deadline)
+	return now.Add(q.group(item.Group).service.lately(now, item.Cost)).After(item.Deadline)
 }
 
-// finish counts the end of a dispatched request.
-func (q *queues) finish(now time.Time, item Item, r Result) {
+// finish counts the end of a dispatched request and learns from it. It returns requests that are refused by what was
+// learnt.
+func (q *queues) finish(now time.Time, item Item, r Result, places int) []*waiter {
 	g := q.groups[item.Group]
 	g.finish(now, item.Class)
 	// A request that was cut would have taken longer; it counts when that says more than the mean.
-	if (r.Whole() && r.Total > 0) || (r.Cut && r.Total > g.service.expected(now, item.Cost)) {
-		g.service.observe(now, item.Cost, r.Total)
+	if (!r.Whole() || r.Total == 0) && (!r.Cut || r.Total <= g.service.expected(item.Cost)) {
+		return nil
+	}
+	g.learnt = true
+	if g.service.observe(now, item.Cost, r.Total) {
+		return q.requeue(now, g, places)
+	}
+	return nil
+}
+
+// requeue queues a group's requests again, in order of arrival, when the first service time of a size is known, as after
+// a burst on a quiet queue. It returns those that are not expected to meet their deadlines.
+func (q *queues) requeue(now time.Time, g *groupQueue, places int) []*waiter {
+	list := slices.Clone(g.expiry)
+	slices.SortFunc(list, func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, w := range list {
+		q.remove(w)
 	}
+	g.learnt = false
+	var refused []*waiter
+	for _, w := range list {
+		g.estimate(w)
+		if now.Add(g.waitFor(w.item, places)).After(w.latestStart) {
+			refused = append(refused, w)
+			continue
+		}
+		q.insert(g, w)
+	}
+	return refused
+}
+
+func (q *queues) insert(g *groupQueue, w *waiter) {
+	g.insert(w)
+	q.bytes += w.item.Bytes
+	q.waiting++
 }
 
 // remove takes a request out of its queue.
@@ -179,9 +212,9 @@
 }
 
 // drainTime returns how long the group's queue is expected to keep a new request waiting and running.
-func (q *queues) drainTime(now time.Time, item Item, places int) time.Duration {
+func (q *queues) drainTime(item Item, places int) time.Duration {
 	g := q.group(item.Group)
-	return g.waitFor(item, places) + g.service.expected(now, item.Cost)
+	return g.waitFor(item, places) + g.service.expected(item.Cost)
 }
 
 func (q *queues) check(g *groupQueue, class Class) {
--- a/admit/shell.go
+++ b/admit/shell.go
@@ -214,7 +214,10 @@
 // done ends a dispatched request. Giving the place back lets the next one go.
 func (c *Controller) done(w *waiter, place Place, r Result) {
 	c.mu.Lock()
-	c.queues.finish(c.config.Clock.Now(), w.item, r)
+	refused := c.queues.finish(c.config.Clock.Now(), w.item, r, c.config.Chooser.Places(w.item.Group))
+	for _, other := range refused {
+		other.answer <- c.refuse(other, TooLate)
+	}
 	c.mu.Unlock()
 	c.config.Chooser.Release(place, r)
 }
@@ -222,7 +225,7 @@
 // refuse makes the ticket of a request that does not run. The time to come back is spread over as long again as the
 // queue is expected to take.
 func (c *Controller) refuse(w *waiter, o Outcome) Ticket {
-	drain := c.queues.drainTime(c.config.Clock.Now(), w.item, c.config.Chooser.Places(w.item.Group))
+	drain := c.queues.drainTime(w.item, c.config.Chooser.Places(w.item.Group))
 	base := min(max(drain, retryAfterMin), retryAfterMax/2)
 	return Ticket{Outcome: o, RetryAfter: base + time.Duration(c.random.Int64N(int64(base)))}
 }
@@ -280,6 +283,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.config.Clock.Now()
+	for _, g := range c.queues.groups {
+		g.reestimate()
+	}
 	c.expire(now)
 	for g := range c.queues.groups {
 		c.dispatch(now, g)
--- a/admit/shell_test.go
+++ b/admit/shell_test.go
@@ -84,7 +84,7 @@
 			for _, r := range []Result{{Cut: true, Total: time.Second}, {Failed: true, Total: time.Hour}, {Cut: true, Total: 10 * time.Second}} {
 				(<-admitAll(c, item("x", Standard, far))[0]).Done(r)
 			}
-			So(c.queues.group("g").service.expected(clock.Now(), 1), ShouldEqual, 3*time.Second)
+			So(c.queues.group("g").service.expected(1), ShouldEqual, 3*time.Second)
 		})
 		Convey("no endpoint means no capacity, for those who wait too", func() {
 			chs := admitAll(c, item("x", Standard, far))
--- a/admit/simulate_test.go
+++ b/admit/simulate_test.go
@@ -66,7 +66,7 @@
 }
 
 func (f *fair) finish(now time.Time, w *waiter, took time.Duration) {
-	f.q.finish(now, w.item, Result{Total: took})
+	f.gaveUp(now, f.q.finish(now, w.item, Result{Total: took}, simPlaces))
 }
 
 // fcfs serves in order of arrival without limits.
@@ -269,6 +269,21 @@
 	})
 }
 
+func TestHourBurst(t *testing.T) {
+	Convey("A burst on a queue that knows no service times wastes little on answers that come too late", t, func() {
+		for seed := range uint64(simSeeds) {
+			load := generate(seed, simPlaces, stream{customer: "a", class: Standard, load: 600, deadline: 5 * time.Second, cost: 300, to: 100 * time.Millisecond})
+			d := newFair()
+			all := simulate(d, load, simPlaces)
+			late := countIf(all, func(s served) bool { return !s.onTime() })
+			t.Logf("seed %d: of %d requests at once %d answered in time, %d late; %d refused after a wait of %s on average", seed, len(load), len(all)-late, late,
+				d.later, d.waited/time.Duration(max(d.later, 1)))
+			So(late, ShouldBeLessThanOrEqualTo, len(all)/20)
+			So(len(all)-late, ShouldBeGreaterThan, 2*simPlaces)
+		}
+	})
+}
+
 func TestDrafts(t *testing.T) {
 	Convey("Interactive requests barely notice drafts that saturate the rest", t, func() {
 		for seed := range uint64(simSeeds) {
