--- a/route/table.go
+++ b/route/table.go
@@ -131,15 +131,15 @@
 
 // pressed says whether this instance used at least half of its room at an endpoint when a request there ended.
 func (t *table) pressed(now time.Time, s *state) bool {
-	used := 2 * (s.inFlight.Load() + 1)
-	for _, g := range t.memberships[s] {
-		sd := &g.away
-		if s.domain == t.fleet.domain {
-			sd = &g.own
-		}
-		return used >= s.room(now, sd, false)
+	groups := t.memberships[s]
+	if len(groups) == 0 {
+		return false
+	}
+	sd := &groups[0].away
+	if s.domain == t.fleet.domain {
+		sd = &groups[0].own
 	}
-	return false
+	return 2*(s.inFlight.Load()+1) >= s.room(now, sd, false)
 }
 
 func (t *table) addState(e *bundle.Endpoint, old *table, initial uint32) {
