Refuse only what nothing can help: wants, give-back and verdicts by call

Cause: the differential test against the naive keeper showed false refusals with all links up: a holder that wanted to grow took the tokens that another gave back for a starved domain. A request after an outage was refused for a failed call made before it, because both bore the same time. Change: a holder without waiting requests takes only what no other domain wants, and gives back half of what it does not use; a verdict rests on calls to the platform numbered after the request.

--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -327,6 +327,18 @@
 	b.Wants = append(b.Wants, mine)
 }
 
+// Spare returns the free tokens that no other domain wants.
+func Spare(b *api.BudgetLedger, domain string) Tokens {
+	var wants Tokens
+	for _, w := range b.GetWants() {
+		if w.Domain != domain {
+			wants += Tokens(w.Tokens)
+		}
+	}
+	free := Free(b)
+	return free - min(free, wants)
+}
+
 // Wanted returns the tokens that other domains lack beyond what is free.
 func Wanted(b *api.BudgetLedger, domain string) Tokens {
 	var sum Tokens
--- a/quota/account.go
+++ b/quota/account.go
@@ -45,6 +45,8 @@
 	model     string
 	since     time.Time
 	deadline  time.Time
+	// event orders the start of the wait among calls to the platform.
+	event uint64
 	// shortSince is when a ledger read after the request came first showed too few tokens; zero before.
 	shortSince time.Time
 	answer     chan Reservation
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -243,7 +243,7 @@
 		select {
 		case r := <-done:
 			return r
-		case <-time.After(time.Millisecond):
+		case <-time.After(200 * time.Microsecond):
 			f.step(50 * time.Millisecond)
 		}
 	}
@@ -402,7 +402,7 @@
 				f.t.Fatal(err)
 			}
 			return
-		case <-time.After(time.Millisecond):
+		case <-time.After(200 * time.Microsecond):
 			f.step(50 * time.Millisecond)
 		}
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	books    map[string]*ledgerBook // by customer
 	leases   atomic.Uint64          // numbers the leases of this incarnation
+	events   atomic.Uint64          // numbers calls to the platform and reservations that wait
 	draining atomic.Bool
 	kicks    chan struct{}
 }
@@ -102,6 +103,7 @@
 	if !wait {
 		return Reservation{}, a, false
 	}
+	w.event = h.events.Add(1)
 	a.waiters = append(a.waiters, w)
 	h.m.counters.waited.Inc(1)
 	h.keepAhead(a)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -35,10 +35,10 @@
 	ledger    *api.CustomerLedger
 	version   budget.Version
 	readAt    time.Time
-	failedAt  time.Time
-	lastWrite time.Time
 	lastFlush time.Time
 	stale     bool
+	// read and failed are the numbers of the last call to the platform that was answered and that failed.
+	read, failed uint64
 }
 
 func newLedgerBook(m *Manager, customer string) *ledgerBook {
@@ -93,7 +93,7 @@
 	b.lastFlush = b.m.cfg.Clock.Now()
 	b.mu.Unlock()
 	for try := range conflictLimit {
-		if b.needsRead() && !b.read(ctx) {
+		if b.needsRead() && !b.load(ctx) {
 			return
 		}
 		if b.update(ctx) {
@@ -128,16 +128,16 @@
 	return b.stale || age >= ledgerMaxAge || waiting && age >= b.m.cfg.flushInterval()/tickDivisor
 }
 
-// read reads the ledger. It returns false when the platform did not answer.
-func (b *ledgerBook) read(ctx context.Context) bool {
-	started := b.m.cfg.Clock.Now()
+// load reads the ledger. It returns false when the platform did not answer.
+func (b *ledgerBook) load(ctx context.Context) bool {
+	started, call := b.m.cfg.Clock.Now(), b.m.holder.events.Add(1)
 	ledger, version, err := readLedger(ctx, b.m.cfg.Store, b.customer)
 	b.m.counters.reads.Inc(1)
 	if err != nil {
-		b.fail(err)
+		b.fail(err, call)
 		return false
 	}
-	b.learn(ledger, version, started)
+	b.learn(ledger, version, started, call)
 	return true
 }
 
@@ -158,12 +158,12 @@
 	return ledger, budget.Version(obj.Version), nil
 }
 
-func (b *ledgerBook) fail(err error) {
+func (b *ledgerBook) fail(err error, call uint64) {
 	b.m.counters.unavailable.Inc(1)
 	b.m.cfg.Log.Debugf("quota: ledger %s: %v", b.customer, err)
 	now := b.m.cfg.Clock.Now()
 	b.mu.Lock()
-	b.failedAt = now
+	b.failed = max(b.failed, call)
 	b.mu.Unlock()
 	accounts, _, _ := b.snapshot()
 	for _, a := range accounts {
@@ -174,14 +174,15 @@
 	}
 }
 
-// learn takes a version of the ledger that the platform was asked for at asked.
-func (b *ledgerBook) learn(ledger *api.CustomerLedger, version budget.Version, asked time.Time) {
+// learn takes a version of the ledger that the platform was asked for at asked, in the numbered call.
+func (b *ledgerBook) learn(ledger *api.CustomerLedger, version budget.Version, asked time.Time, call uint64) {
 	b.mu.Lock()
 	if version < b.version {
 		b.mu.Unlock()
 		return
 	}
 	b.ledger, b.version, b.readAt, b.stale = ledger, version, asked, false
+	b.read = max(b.read, call)
 	accounts := append([]*account(nil), b.accounts...)
 	b.mu.Unlock()
 	now := b.m.cfg.Clock.Now()
@@ -235,15 +236,12 @@
 }
 
 func (b *ledgerBook) write(ctx context.Context, accounts []*account, next *api.CustomerLedger, base budget.Version, sent []*heldLease) bool {
-	started := b.m.cfg.Clock.Now()
+	started, call := b.m.cfg.Clock.Now(), b.m.holder.events.Add(1)
 	version, err := writeLedger(ctx, b.m.cfg.Store, next, base)
 	b.m.counters.writes.Inc(1)
 	switch {
 	case err == nil:
-		b.mu.Lock()
-		b.lastWrite = started
-		b.mu.Unlock()
-		b.learn(next, version, started)
+		b.learn(next, version, started, call)
 		b.settleDown(accounts, true)
 		return true
 	case errors.Is(err, platform.ErrConflict):
@@ -258,7 +256,7 @@
 		return false
 	default:
 		b.resolve(accounts, sent, (*budget.Lease).NotWritten)
-		b.fail(err)
+		b.fail(err, call)
 		return true
 	}
 }
@@ -331,20 +329,20 @@
 
 func (b *ledgerBook) verdict(a *account, w *waiter, now time.Time) (Reservation, bool) {
 	b.mu.Lock()
-	entry, readAt, failedAt := budget.Budget(b.ledger, a.id.Budget), b.readAt, b.failedAt
+	entry, readAt, read, failed := budget.Budget(b.ledger, a.id.Budget), b.readAt, b.read, b.failed
 	b.mu.Unlock()
 	recent := now.Sub(readAt) < b.m.cfg.flushInterval()
-	unreachable := failedAt.After(readAt)
+	unreachable := failed > read
 	if recent && entry != nil && a.granted <= budget.Tokens(entry.Granted) && a.unspent(entry) < w.bound {
 		return Reservation{Outcome: Exhausted}, true
 	}
-	if unreachable && !failedAt.Before(w.since) {
+	if unreachable && failed > w.event {
 		if !a.mayFree(w.bound) {
 			return Reservation{Outcome: OutOfReach, RetryAfter: platformRetryAfter}, true
 		}
-		w.short(failedAt)
+		w.short(now)
 	}
-	if !readAt.Before(w.since) {
+	if read > w.event {
 		w.short(now)
 	}
 	if !w.shortSince.IsZero() && now.Sub(w.shortSince) >= b.m.cfg.settleWait() {
@@ -363,7 +361,7 @@
 // giveUp refuses a request whose time to wait is over. The caller holds a.mu.
 func (b *ledgerBook) giveUp(a *account, w *waiter) {
 	b.mu.Lock()
-	unreachable := b.failedAt.After(b.readAt) || b.readAt.Before(w.since)
+	unreachable := b.failed > b.read || b.read < w.event
 	b.mu.Unlock()
 	a.refuse(w, b.final(unreachable))
 }
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -81,8 +81,12 @@
 	ahead := a.ahead(b.m.cfg.ceilingAhead())
 	target := b.target(a, entry)
 	owner := budget.Owner{LeaseID: l.ID(), Domain: b.m.domain, Incarnation: b.m.self}
-	if l.Taken() < l.Used()+max(target/2, ahead) {
+	wanted := len(a.waiters) == 0 && budget.Wanted(entry, b.m.domain) > 0
+	if !wanted && l.Taken() < l.Used()+max(target/2, ahead) {
 		want := l.Used() + max(target, ahead) - l.Taken()
+		if len(a.waiters) == 0 {
+			want = min(want, budget.Spare(entry, b.m.domain))
+		}
 		e.Take(name, owner, want, 1, now.UnixMilli())
 	} else if keep := b.keep(a, entry, target, ahead); keep < l.Taken() {
 		change.Keep = keep
@@ -125,13 +129,14 @@
 }
 
 // keep returns the total to keep, less than taken when other domains want tokens or the lease is far over its target.
+// A want is met with half of what is unused if that is more, so that it need not be marked again for each request.
 func (b *ledgerBook) keep(a *account, entry *api.BudgetLedger, target, ahead budget.Tokens) budget.Tokens {
 	l := a.lease
 	if len(a.waiters) > 0 {
 		return l.Taken()
 	}
 	if wanted := budget.Wanted(entry, b.m.domain); wanted > 0 {
-		return max(l.Used(), l.Taken()-min(l.Taken(), wanted))
+		return l.Taken() - min(l.Unused(), max(wanted, l.Unused()/2))
 	}
 	if surplus := 2 * max(target, ahead); l.Unused() > surplus {
 		return l.Used() + max(target, ahead)
