--- a/quota/chaos_test.go
+++ b/quota/chaos_test.go
@@ -24,7 +24,6 @@
 	open    map[string]*node
 	bounds  map[string]budget.Tokens
 	spent   budget.Tokens
-	billed  budget.Tokens // of instances that live to the end
 	unsure  budget.Tokens // may be billed or not: the instance is gone
 	settled map[*node]budget.Tokens
 }
--- a/quota/config.go
+++ b/quota/config.go
@@ -82,6 +82,8 @@
 	platformRetryAfter = 2 * time.Second
 	// orphanDivisor is how many looks at old reservations make the time after which they are orphans.
 	orphanDivisor = 3
+	// recordKeep is how long settlements are kept for a holder that is missing.
+	recordKeep = time.Hour
 	// batchLimit bounds the items of one message.
 	batchLimit = 512
 	// writeLimit bounds the ledgers written side by side.
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -34,14 +34,21 @@
 type delivery struct {
 	item   *api.SettleItem
 	holder string
-	// confirmed is closed when a holder has the record.
+	// confirmed is closed, once, when a holder has the record.
 	confirmed chan struct{}
+	once      *sync.Once
 	// sequence is the holder's segment for the record, kept says that a holder has it, flying that it is being sent.
 	sequence uint64
 	kept     bool
 	flying   bool
+	// adopted says that another holder was given the record, because the lease's own one is missing. The delivery stays
+	// for the own holder: if it comes back it must bill the request and not release it.
+	adopted bool
 }
 
+// tell ends the wait for the settlement.
+func (d *delivery) tell() { d.once.Do(func() { close(d.confirmed) }) }
+
 func newEntry(m *Manager) *entry {
 	return &entry{m: m, open: make(map[string]*openRequest), sent: make(map[*delivery]struct{})}
 }
@@ -129,7 +136,7 @@
 
 // deliver sends a settlement to a holder and keeps it until it is durable.
 func (e *entry) deliver(item *api.SettleItem, holder string) *delivery {
-	d := &delivery{item: item, holder: holder, confirmed: make(chan struct{}), flying: true}
+	d := &delivery{item: item, holder: holder, confirmed: make(chan struct{}), once: new(sync.Once), flying: true}
 	e.mu.Lock()
 	e.sent[d] = struct{}{}
 	e.mu.Unlock()
@@ -143,10 +150,8 @@
 	defer e.mu.Unlock()
 	for i, d := range batch {
 		d.flying = false
-		if !d.kept {
-			d.kept = true
-			close(d.confirmed)
-		}
+		d.kept = true
+		d.tell()
 		d.sequence = result.Segment
 		if !d.item.Ran || result.Outcomes[i] != api.SettleOutcome_SETTLE_OUTCOME_SETTLED {
 			delete(e.sent, d)
@@ -174,96 +179,81 @@
 	}
 }
 
-// resend repeats settlements that are not confirmed, asks holders how far their records are durable, and hands the
-// settlements of holders that are gone to the budgets' present holders.
+// resend repeats settlements that are not confirmed, asks holders how far their records are durable, and gives the
+// records of missing holders' leases to the budgets' present holders.
 func (e *entry) resend() {
 	live := e.m.liveIncarnations()
-	e.mu.Lock()
-	var again []*delivery
+	now := e.m.cfg.Clock.Now()
+	var again, orphaned []*delivery
 	ask := make(map[string]bool)
+	e.mu.Lock()
 	for d := range e.sent {
 		switch {
 		case d.flying:
 		case !live[d.holder]:
-			d.item.Adopt = d.item.Ran
-			again = append(again, d)
+			orphaned = append(orphaned, d)
 		case !d.kept:
+			d.flying = true
 			again = append(again, d)
 		default:
 			ask[d.holder] = true
 		}
 	}
-	for _, d := range again {
-		d.flying = true
-	}
 	e.mu.Unlock()
 	for _, d := range again {
-		e.again(d, live)
+		e.m.counters.resent.Inc(1)
+		e.m.link(d.holder).settles.add(d)
+	}
+	for _, d := range orphaned {
+		e.rehome(d, e.m.absences.of(d.holder, live, now))
 	}
 	for holder := range ask {
 		e.m.link(holder).settles.add(nil)
 	}
 }
 
-// again sends a settlement once more, to another holder if its own is gone.
-func (e *entry) again(d *delivery, live map[string]bool) {
-	e.m.counters.resent.Inc(1)
-	if !live[d.holder] {
-		e.rehome(d)
-		return
-	}
-	e.m.link(d.holder).settles.add(d)
-}
-
-// rehome gives the record of a lost holder's lease to the budget's present holder. A release has nothing left to release.
-func (e *entry) rehome(d *delivery) {
+// rehome gives the record of a missing holder's lease to the budget's present holder. A release needs no other holder.
+func (e *entry) rehome(d *delivery, missing time.Duration) {
 	e.mu.Lock()
-	d.flying = false
-	if !d.item.Ran {
-		e.drop(d)
-		e.mu.Unlock()
-		return
+	first := !d.adopted
+	d.adopted = true
+	if d.item.Adopt || missing >= recordKeep || !d.item.Ran {
+		d.tell()
 	}
-	rec := d.item.Record
-	owner := e.m.owner(budget.ID{Customer: rec.Customer, Budget: rec.Budget})
-	if owner != e.m.self {
-		d.holder, d.kept, d.flying = owner, false, true
-		d.confirmed = reopened(d.confirmed)
-		e.mu.Unlock()
-		e.m.link(owner).settles.add(d)
-		return
+	if d.item.Adopt || missing >= recordKeep {
+		delete(e.sent, d)
 	}
-	e.drop(d)
 	e.mu.Unlock()
-	e.m.holder.settle(d.item, e.m.self)
-}
-
-// drop forgets a settlement and ends the wait for it. The caller holds mu.
-func (e *entry) drop(d *delivery) {
-	if !d.kept {
-		d.kept = true
-		close(d.confirmed)
+	if first && d.item.Ran {
+		e.m.counters.resent.Inc(1)
+		e.adopt(d)
 	}
-	delete(e.sent, d)
 }
 
-// reopened returns a channel that may be closed again.
-func reopened(c chan struct{}) chan struct{} {
-	select {
-	case <-c:
-		return make(chan struct{})
-	default:
-		return c
+// adopt has the budget's present holder keep a record.
+func (e *entry) adopt(d *delivery) {
+	rec := d.item.Record
+	item := &api.SettleItem{Record: rec, Attempt: d.item.Attempt, Ran: true, Adopt: true}
+	owner := e.m.owner(budget.ID{Customer: rec.Customer, Budget: rec.Budget})
+	if owner == e.m.self {
+		e.m.holder.settle(item, e.m.self)
+		d.tell()
+		return
 	}
+	c := &delivery{item: item, holder: owner, confirmed: d.confirmed, once: d.once, flying: true}
+	e.mu.Lock()
+	e.sent[c] = struct{}{}
+	e.mu.Unlock()
+	e.m.link(owner).settles.add(c)
 }
 
-// undelivered returns the number of settlements that no holder has confirmed.
+// undelivered returns the number of settlements that no holder has confirmed or was given.
 func (e *entry) undelivered() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := 0
 	for d := range e.sent {
-		if !d.kept {
+		if !d.kept && !d.adopted {
 			n++
 		}
 	}
--- a/quota/reclaim.go
+++ b/quota/reclaim.go
@@ -20,7 +20,7 @@
 	// reclaimAfter is how long a holder must be missing. It saves work only: a holder that is alive after all is safe.
 	reclaimAfter = 5 * time.Second
 	// absenceKeep is how long missing incarnations are remembered.
-	absenceKeep = time.Hour
+	absenceKeep = 2 * recordKeep
 	// listPage is the number of objects listed in one call.
 	listPage = 100
 	// reclaimTopic decides which instance of a domain looks for lost holders.
