--- a/cmd/pumicebench/main.go
+++ b/cmd/pumicebench/main.go
@@ -34,6 +34,8 @@
 	} `positional-args:"true"`
 }
 
+type capacityCommand struct{}
+
 type soakCommand struct {
 	Minutes int    `long:"minutes" default:"1" description:"how long to go on"`
 	Seed    uint64 `long:"seed" default:"1" description:"first seed; each round takes the next"`
@@ -44,6 +46,7 @@
 	must(parser.AddCommand("list", "List the experiments", "Prints each experiment with its policies.", &listCommand{}))
 	must(parser.AddCommand("run", "Run one experiment", "Prints one JSON object as the last line; fails if a promise broke.", &runCommand{}))
 	must(parser.AddCommand("compare", "Compare policies", "Runs every policy over the seeds; prints median/worst of each figure.", &compareCommand{}))
+	must(parser.AddCommand("capacity", "Measure slopes", "Measures what grows with instances, customers and budgets, for docs/CAPACITY.md.", &capacityCommand{}))
 	must(parser.AddCommand("soak", "Run two-faults on and on", "Runs rounds of random faults on both deployments and sums them up.", &soakCommand{}))
 	if _, err := parser.Parse(); err != nil {
 		var usage *flags.Error
@@ -157,3 +160,10 @@
 	fmt.Printf("%d rounds with two faults each, %d requests\n", rounds, requests)
 	return broken
 }
+
+// Execute implements flags.Commander.
+func (*capacityCommand) Execute([]string) error {
+	ctx, stop := signals()
+	defer stop()
+	return bench.Capacity(ctx, os.Stdout)
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -71,15 +71,19 @@
 	r.ends = append(r.ends, f)
 }
 
-// Do runs an experiment with a seed and policy.
-func Do(ctx context.Context, e Experiment, seed uint64, policy string) (*Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, runLimit)
-	defer cancel()
-	r := &Run{
+func newRun(e Experiment, seed uint64, policy string) *Run {
+	return &Run{
 		rng:    rand.New(rand.NewPCG(seed, 0)),
 		number: 1,
 		Result: Result{Experiment: e.Name, Seed: seed, Policy: policy, Extra: map[string]float64{}, Refusals: map[string]int{}},
 	}
+}
+
+// Do runs an experiment with a seed and policy.
+func Do(ctx context.Context, e Experiment, seed uint64, policy string) (*Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	defer cancel()
+	r := newRun(e, seed, policy)
 	c := config(e, seed, policy)
 	f, err := fleet.Start(ctx, c)
 	if err != nil {
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pumiceshelf/node"
@@ -34,8 +35,12 @@
 	rules   map[string]Rule
 	changed chan struct{}
 	conns   map[*conn]struct{}
+	traffic map[link]*atomic.Uint64
 }
 
+// link is one direction of dialling between two sites.
+type link struct{ from, to Site }
+
 // NewNetwork returns a network with all links open.
 func NewNetwork() *Network {
 	return &Network{
@@ -43,6 +48,7 @@
 		rules:   make(map[string]Rule),
 		changed: make(chan struct{}),
 		conns:   make(map[*conn]struct{}),
+		traffic: make(map[link]*atomic.Uint64),
 	}
 }
 
@@ -111,12 +117,30 @@
 		}
 		c := &conn{Conn: inner, network: n, from: from, to: to, closed: make(chan struct{})}
 		n.mu.Lock()
+		defer n.mu.Unlock()
 		n.conns[c] = struct{}{}
-		n.mu.Unlock()
+		c.bytes = n.traffic[link{from, to}]
+		if c.bytes == nil {
+			c.bytes = new(atomic.Uint64)
+			n.traffic[link{from, to}] = c.bytes
+		}
 		return c, nil
 	}
 }
 
+// Bytes returns the bytes carried so far, both ways, on connections dialled between the sites that pick chooses.
+func (n *Network) Bytes(pick Rule) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := uint64(0)
+	for l, bytes := range n.traffic {
+		if pick(l.from, l.to) {
+			sum += bytes.Load()
+		}
+	}
+	return sum
+}
+
 func (n *Network) owner(address string) Site {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -155,6 +179,7 @@
 	network  *Network
 	from, to Site
 	silent   bool
+	bytes    *atomic.Uint64
 
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -171,6 +196,7 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(b)
+		c.bytes.Add(uint64(n))
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.stopped() {
 			// The other end's end is not seen through a blocked link.
 			continue
@@ -189,7 +215,9 @@
 	if err := c.wait(c.deadline(&c.writeDeadline)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
