--- a/server/fakes_test.go
+++ b/server/fakes_test.go
@@ -272,6 +272,9 @@
 	So(err, ShouldBeNil)
 	req.Header.Set("Authorization", "Bearer "+token)
 	for i := 0; i < len(header); i += 2 {
+		if header[i] == "Authorization" {
+			req.Header.Del(header[i])
+		}
 		req.Header[header[i]] = append(req.Header[header[i]], header[i+1])
 	}
 	res, err := r.caller.RoundTrip(req)
