--- a/node/build.go
+++ b/node/build.go
@@ -305,6 +305,7 @@
 		PlatformReachable:  p.platform.Reachable(),
 		Peers:              p.fleet.Status(),
 		Endpoints:          p.balancer.Status(),
+		Orders:             p.orders.Status(),
 		Leases:             p.quota.Status(),
 		Repairs:            p.repairs.List(),
 		RequestsInProgress: uint64(p.server.InProgress()),
