Keep a settlement that was a duplicate until the holder's record is durable

The answer to its settlement was lost, the repeat was answered as a duplicate and forgotten; then the holder died before its record was durable. Change: a duplicate is kept like a first settlement until the holder's segments are durable past it.

--- a/quota/entry.go
+++ b/quota/entry.go
@@ -168,7 +168,9 @@
 		d.kept = true
 		d.tell()
 		d.sequence = result.Segment
-		if !d.item.Ran || result.Outcomes[i] != api.SettleOutcome_SETTLE_OUTCOME_SETTLED {
+		// A duplicate is kept as well: the first answer may be lost, and the holder's record not durable yet.
+		unknown := result.Outcomes[i] == api.SettleOutcome_SETTLE_OUTCOME_UNKNOWN_LEASE
+		if !d.item.Ran || unknown || result.Segment < result.DurableBelow {
 			e.remove(d)
 		}
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -183,14 +183,14 @@
 	l := a.held(rec.Lease)
 	if l == nil {
 		h.m.counters.duplicate.Inc(1)
-		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, 0
+		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, h.m.segments.last()
 	}
 	usage := budget.Tokens(rec.PromptTokens) + budget.Tokens(rec.GeneratedTokens)
 	bound := l.Bound(rec.RequestId)
 	charge, ok := l.Settle(rec.RequestId, attempt, usage)
 	if !ok {
 		h.m.counters.duplicate.Inc(1)
-		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, 0
+		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, h.m.segments.last()
 	}
 	return api.SettleOutcome_SETTLE_OUTCOME_SETTLED, h.record(a, l, rec, charge, usage, bound, now)
 }
--- a/quota/segment.go
+++ b/quota/segment.go
@@ -65,7 +65,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue = append(s.queue, q)
-	ahead := uint64(len(s.queue)-1) / segmentRecords
+	return s.lastLocked()
+}
+
+// last returns the sequence of the last segment needed for all records so far, or a later one.
+func (s *segments) last() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastLocked()
+}
+
+func (s *segments) lastLocked() uint64 {
+	if len(s.queue) == 0 && s.frozen == nil && s.next > 0 {
+		return s.next - 1
+	}
+	ahead := uint64(max(len(s.queue)-1, 0)) / segmentRecords
 	if s.frozen != nil {
 		ahead++
 	}
