--- a/bundle/check.go
+++ b/bundle/check.go
@@ -99,11 +99,22 @@
 func checkModelID(check *fieldcheck.Checker, path, id string) { checkIDWith(check, path, id, "/") }
 
 func checkIDWith(check *fieldcheck.Checker, path, id, more string) {
-	ok := id != "" && len(id) <= idLimit && id != "." && id != ".."
+	if !validID(id, more) {
+		check.Wrong(path, id, fmt.Sprintf("1 to %d letters, digits or any of . _ - : @ + %s", idLimit, more))
+	}
+}
+
+// validID says whether an id has only the runes allowed everywhere and those of more.
+func validID(id, more string) bool {
+	if id == "" || len(id) > idLimit || id == "." || id == ".." {
+		return false
+	}
 	for _, r := range id {
-		ok = ok && (idRune(r) || strings.ContainsRune(more, r))
+		if !idRune(r) && !strings.ContainsRune(more, r) {
+			return false
+		}
 	}
-	check.Require(ok, path, id, fmt.Sprintf("1 to %d letters, digits or any of . _ - : @ + %s", idLimit, more))
+	return true
 }
 
 func idRune(r rune) bool {
--- a/bundle/check_customer.go
+++ b/bundle/check_customer.go
@@ -50,20 +50,28 @@
 
 // checkGrantList adds the grants to the customer's total so far and returns the new total.
 func checkGrantList(check *fieldcheck.Checker, path string, grants []*api.Grant, total uint64) uint64 {
-	ids := make(map[string]bool)
+	ids := make(map[string]bool, len(grants))
 	for i, g := range grants {
-		grantPath := path + "." + itemPath("grants", g.Id, i)
-		checkID(check, grantPath+".id", g.Id)
-		check.Require(!ids[g.Id], grantPath+".id", g.Id, "an id that no other grant of the budget has")
-		ids[g.Id] = true
 		room := tokenLimit - total
-		check.Require(g.Tokens >= 1 && g.Tokens <= room, grantPath+".tokens", g.Tokens,
-			fmt.Sprintf("from 1 to %d, so that the customer's grants sum to at most %d", room, uint64(tokenLimit)))
+		// Grants are by far the most numerous fields; the texts are made for wrong ones alone.
+		if !validID(g.Id, "") || ids[g.Id] || !validGrant(g, room) {
+			reportGrant(check, path+"."+itemPath("grants", g.Id, i), g, ids[g.Id], room)
+		}
+		ids[g.Id] = true
 		total += min(g.Tokens, room)
 	}
 	return total
 }
 
+func validGrant(g *api.Grant, room uint64) bool { return g.Tokens >= 1 && g.Tokens <= room }
+
+func reportGrant(check *fieldcheck.Checker, path string, g *api.Grant, twice bool, room uint64) {
+	checkID(check, path+".id", g.Id)
+	check.Require(!twice, path+".id", g.Id, "an id that no other grant of the budget has")
+	check.Require(validGrant(g, room), path+".tokens", g.Tokens,
+		fmt.Sprintf("from 1 to %d, so that the customer's grants sum to at most %d", room, uint64(tokenLimit)))
+}
+
 func checkDistinct(check *fieldcheck.Checker, path string, list []string) {
 	seen := make(map[string]bool)
 	for i, s := range list {
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -27,6 +27,7 @@
 	"pumiceshelf/instance"
 	"pumiceshelf/internal/standin"
 	"pumiceshelf/peer"
+	"pumiceshelf/platform"
 )
 
 // operator is a test operator with its key.
@@ -128,6 +129,10 @@
 	nodes   []*node
 	// cut is asked with two names of instances; the platform is named "platform".
 	cut func(a, b string) bool
+	// told holds the bundle numbers that heartbeats told last; nil when views know them at once.
+	told map[string]uint64
+	// silent names instances whose calls to the platform get no answer.
+	silent map[string]bool
 }
 
 // node is one instance of a test fleet. It is its own view and its own connections.
@@ -194,7 +199,7 @@
 		Clock:          f.clock,
 		Log:            &log.Logger{Handler: discard.Default, Level: log.DebugLevel},
 		Metrics:        n.metrics,
-		Store:          f.objects.Link(name),
+		Store:          &fleetStore{Store: f.objects.Link(name), fleet: f, name: name},
 		View:           n,
 		Conns:          n,
 	})
@@ -239,6 +244,63 @@
 	return slices.Clone(f.nodes)
 }
 
+// toldNumber returns the bundle number of a node as its peers know it.
+func (f *testFleet) toldNumber(n *node) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.told == nil {
+		return n.holder.Number()
+	}
+	return f.told[n.self.Name]
+}
+
+// heartbeats makes views lag by the interval until ctx ends.
+func (f *testFleet) heartbeats(ctx context.Context, interval time.Duration) {
+	for ctx.Err() == nil {
+		told := make(map[string]uint64)
+		for _, n := range f.list() {
+			told[n.self.Name] = n.holder.Number()
+		}
+		f.mu.Lock()
+		f.told = told
+		f.mu.Unlock()
+		time.Sleep(interval)
+	}
+}
+
+// fleetStore is a node's way to the platform, which may go silent.
+type fleetStore struct {
+	platform.Store
+	fleet *testFleet
+	name  string
+}
+
+func (s *fleetStore) hang(ctx context.Context) error {
+	s.fleet.mu.Lock()
+	silent := s.fleet.silent[s.name]
+	s.fleet.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return platform.ErrUnavailable
+}
+
+func (s *fleetStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.hang(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *fleetStore) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, error) {
+	obj, err := s.Store.Watch(ctx, key, after)
+	if hung := s.hang(ctx); hung != nil {
+		return platform.Object{}, hung
+	}
+	return obj, err
+}
+
 // Self implements peer.View.
 func (n *node) Self() *api.Instance { return n.self }
 
@@ -249,7 +311,7 @@
 		out = append(out, peer.Member{
 			Instance:          o.self,
 			Live:              !n.fleet.isCut(n.self.Name, o.self.Name),
-			BundleNumber:      o.holder.Number(),
+			BundleNumber:      n.fleet.toldNumber(o),
 			PlatformReachable: !o.holder.platformDown.Load(),
 		})
 	}
--- a/bundle/metrics.go
+++ b/bundle/metrics.go
@@ -13,6 +13,7 @@
 	metricFork         = telemetry.Describe("bundle.rejected.fork", "manifests", "Manifests passed over because another with the same number is in force.")
 	metricFetchRetry   = telemetry.Describe("bundle.retry.fetch", "fetches", "Fetches of a newer bundle that failed and are tried again.")
 	metricPlatformDown = telemetry.Describe("bundle.retry.platform", "calls", "Watches and reads of the pointer that failed and are tried again.")
+	metricWatchSilent  = telemetry.Describe("bundle.watch.silent", "watches", "Watches that missed a change which the read behind them found.")
 	metricFromPeer     = telemetry.Describe("bundle.parts.from_peer", "parts", "Parts fetched from peers.")
 	metricFromPlatform = telemetry.Describe("bundle.parts.from_platform", "parts", "Parts fetched from the platform.")
 	metricAnnounced    = telemetry.Describe("bundle.announce.sent", "messages", "Announcements of a bundle sent to peers.")
--- a/bundle/serve.go
+++ b/bundle/serve.go
@@ -48,9 +48,8 @@
 
 // confirm reads the pointer and says whether no newer bundle than the one then in force is named by it.
 func (h *Holder) confirm(ctx context.Context) bool {
-	pointer, err := ReadPointer(ctx, h.cfg.Store)
+	pointer, err := h.askPlatform(ctx)
 	if err != nil {
-		h.platformFailed()
 		return false
 	}
 	_ = h.takePointer(ctx, pointer)
--- a/bundle/watch.go
+++ b/bundle/watch.go
@@ -25,8 +25,10 @@
 	peerTimeout = time.Second
 	// fetchTimeout bounds the fetch of one bundle.
 	fetchTimeout = 30 * time.Second
-	// watchTimeout bounds one watch, should the platform not end it.
-	watchTimeout = time.Minute
+	// pointerTimeout bounds one read of the pointer.
+	pointerTimeout = time.Second
+	// watchTimeout bounds one watch. The pointer is then read, so that a connection that went silent is found soon.
+	watchTimeout = 2500 * time.Millisecond
 )
 
 // wait returns after d or when ctx ends; it says whether ctx goes on.
@@ -68,14 +70,20 @@
 	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	obj, err := h.cfg.Store.Watch(watchCtx, PointerKey, seen)
-	if errors.Is(err, platform.ErrUnchanged) {
+	switch {
+	case err == nil:
+		return h.takeObject(ctx, obj, seen)
+	case errors.Is(err, platform.ErrUnchanged):
 		h.platformDown.Store(false)
 		return seen, nil
+	case watchCtx.Err() != nil:
+		return h.readBehindWatch(ctx, seen)
 	}
-	if err != nil {
-		h.platformFailed()
-		return seen, err
-	}
+	h.platformFailed()
+	return seen, err
+}
+
+func (h *Holder) takeObject(ctx context.Context, obj platform.Object, seen platform.Version) (platform.Version, error) {
 	h.platformDown.Store(false)
 	pointer, err := decodePointer(obj)
 	if err != nil {
@@ -85,6 +93,18 @@
 	return obj.Version, h.takePointer(ctx, pointer)
 }
 
+// readBehindWatch reads the pointer after a watch that brought nothing.
+func (h *Holder) readBehindWatch(ctx context.Context, seen platform.Version) (platform.Version, error) {
+	pointer, err := h.askPlatform(ctx)
+	if err != nil {
+		return seen, err
+	}
+	if pointer.Version > seen {
+		metricWatchSilent.Counter(h.cfg.Metrics).Inc(1)
+	}
+	return pointer.Version, h.takePointer(ctx, pointer)
+}
+
 func (h *Holder) platformFailed() {
 	h.platformDown.Store(true)
 	metricPlatformDown.Counter(h.cfg.Metrics).Inc(1)
@@ -129,13 +149,23 @@
 
 // readPointer reads the pointer and takes what it names. The error is counted and reported where it arises.
 func (h *Holder) readPointer(ctx context.Context) error {
+	pointer, err := h.askPlatform(ctx)
+	if err != nil {
+		return err
+	}
+	return h.takePointer(ctx, pointer)
+}
+
+func (h *Holder) askPlatform(ctx context.Context) (Pointer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pointerTimeout)
+	defer cancel()
 	pointer, err := ReadPointer(ctx, h.cfg.Store)
 	if err != nil {
 		h.platformFailed()
-		return err
+		return Pointer{}, err
 	}
 	h.platformDown.Store(false)
-	return h.takePointer(ctx, pointer)
+	return pointer, nil
 }
 
 // start brings in the first bundle: from the platform, else from a peer.
