Answer at once and call seldom while the platform does not answer

Cause: in an outage each customer's ledger was tried on its own at every tick, one slow call held up all other ledgers, and a refusal waited for its own failed call. Change: one gate for all ledger calls lets one through per quarter second, then per second, while they fail; after several failures in a row requests that cannot be served are refused at once. Ledgers are written side by side without waiting for each other.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -131,12 +131,18 @@
 // load reads the ledger. It returns false when the platform did not answer.
 func (b *ledgerBook) load(ctx context.Context) bool {
 	started, call := b.m.cfg.Clock.Now(), b.m.holder.events.Add(1)
+	if err := b.m.gate.enter(started); err != nil {
+		b.fail(err, call)
+		return false
+	}
 	ledger, version, err := readLedger(ctx, b.m.cfg.Store, b.customer)
 	b.m.counters.reads.Inc(1)
 	if err != nil {
+		b.m.gate.failed(b.m.cfg.Clock.Now())
 		b.fail(err, call)
 		return false
 	}
+	b.m.gate.answered()
 	b.learn(ledger, version, started, call)
 	return true
 }
@@ -237,6 +243,11 @@
 
 func (b *ledgerBook) write(ctx context.Context, accounts []*account, next *api.CustomerLedger, base budget.Version, sent []*heldLease) bool {
 	started, call := b.m.cfg.Clock.Now(), b.m.holder.events.Add(1)
+	if err := b.m.gate.enter(started); err != nil {
+		b.resolve(accounts, sent, (*budget.Lease).NotWritten)
+		b.fail(err, call)
+		return true
+	}
 	version, err := writeLedger(ctx, b.m.cfg.Store, next, base)
 	b.m.counters.writes.Inc(1)
 	switch {
@@ -255,6 +266,7 @@
 		b.refresh()
 		return false
 	default:
+		b.m.gate.failed(b.m.cfg.Clock.Now())
 		b.resolve(accounts, sent, (*budget.Lease).NotWritten)
 		b.fail(err, call)
 		return true
@@ -336,7 +348,7 @@
 	if recent && entry != nil && a.granted <= budget.Tokens(entry.Granted) && a.unspent(entry) < w.bound {
 		return Reservation{Outcome: Exhausted}, true
 	}
-	if unreachable && failed > w.event {
+	if unreachable && (failed > w.event || b.m.gate.closed(now)) {
 		if !a.mayFree(w.bound) {
 			return Reservation{Outcome: OutOfReach, RetryAfter: platformRetryAfter}, true
 		}
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -22,6 +22,7 @@
 	holder   *holder
 	segments *segments
 	absences *absences
+	gate     *gate
 
 	witnessMu sync.Mutex
 	witness   *budget.Witness
@@ -48,6 +49,7 @@
 		domain:    cfg.Self.Domain,
 		counters:  newCounters(cfg.Metrics),
 		absences:  newAbsences(),
+		gate:      &gate{first: cfg.flushInterval() / tickDivisor},
 		witness:   budget.NewWitness(cfg.Self.Incarnation),
 		reclaimed: make(map[string]time.Time),
 		life:      life,
@@ -63,7 +65,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	defer m.end()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval()/tickDivisor, m.holder.kicks, m.writeLedgers) })
+	g.Go(func() error { return m.runLedgers(ctx) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.writeRecords) })
 	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
 	g.Go(func() error { return m.loop(ctx, compactInterval, nil, m.compact) })
@@ -86,19 +88,35 @@
 	}
 }
 
-// writeLedgers looks at the ledgers that are due.
-func (m *Manager) writeLedgers(ctx context.Context) {
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(writeLimit)
+// runLedgers keeps ledgers up to date until ctx ends. A slow write holds up no other customer's.
+func (m *Manager) runLedgers(ctx context.Context) error {
+	var writes errgroup.Group
+	writes.SetLimit(writeLimit)
+	err := m.loop(ctx, m.cfg.flushInterval()/tickDivisor, m.holder.kicks, func(ctx context.Context) {
+		m.startWrites(ctx, &writes)
+	})
+	_ = writes.Wait() // The functions return no errors.
+	return err
+}
+
+// startWrites starts a look at each ledger that is due, as far as the group has room.
+func (m *Manager) startWrites(ctx context.Context, g *errgroup.Group) {
 	now := m.cfg.Clock.Now()
 	for _, b := range m.holder.allBooks() {
 		if b.due(now) {
-			g.Go(func() error {
+			g.TryGo(func() error {
 				b.flush(ctx)
 				return nil
 			})
 		}
 	}
+}
+
+// writeLedgers looks at the ledgers that are due and waits for the writes.
+func (m *Manager) writeLedgers(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(writeLimit)
+	m.startWrites(ctx, &g)
 	_ = g.Wait() // The functions return no errors.
 }
 
