Give operators pumicectl: check, compare, sign, roll and show

Cause: operators drive the fleet by approving and rolling bundles only, and need to see what it does and why. Change: package ctl and its thin command: bundle check, diff, sign, roll, status; key new and customer; status, endpoints, budget, explain; each with JSON output, an example in its help and one exit code per kind of failure. A roll shows progress until the bundle is in force on every listed instance and names who is behind and why. An approval is bound to the bundle that it replaces, so an old one cannot be rolled later. Conclusion: the first bundle's approval is checked by the instances alone; the tool does not know their settings.

--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -23,7 +23,7 @@
 
 // Sign encodes a manifest and signs it as one operator.
 func Sign(m *api.Manifest, operatorID string, key ed25519.PrivateKey) *api.SignedManifest {
-	signed := &api.SignedManifest{Manifest: encode(m)}
+	signed := Unsigned(m)
 	AddSignature(signed, operatorID, key)
 	return signed
 }
@@ -94,3 +94,9 @@
 	}
 	return m, nil
 }
+
+// Unsigned encodes a manifest for signatures to be added to.
+func Unsigned(m *api.Manifest) *api.SignedManifest { return &api.SignedManifest{Manifest: encode(m)} }
+
+// Manifest returns the manifest that a signed one holds, without verifying it.
+func Manifest(signed *api.SignedManifest) (*api.Manifest, error) { return decodeManifest(signed) }
--- a/cmd/pumicectl/main.go
+++ b/cmd/pumicectl/main.go
@@ -1,4 +1,17 @@
 // Command pumicectl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"pumiceshelf/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/ctl/key.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+
+	"pumiceshelf/bundle"
+)
+
+const (
+	// keyType is the type of the PEM block of an operator's key.
+	keyType = "PRIVATE KEY"
+	// keyMode lets only the owner read a key file.
+	keyMode = 0o600
+	// tokenBytes is the length of a customer's bearer token before encoding.
+	tokenBytes = 32
+)
+
+func (a *app) keyCommands() []command {
+	return []command{
+		{"new", "Make an operator's key pair", keyNewHelp, &keyNewCommand{app: a}},
+		{"customer", "Make a customer's bearer token", keyCustomerHelp, &keyCustomerCommand{app: a}},
+	}
+}
+
+const keyNewHelp = `Make an operator's ed25519 key pair. The private key goes to a new file that only its owner may read; the entry for "operators" of a bundle or "firstOperators" of the settings is printed.
+
+Example:
+  pumicectl key new --id ana --out ana.key`
+
+type keyNewCommand struct {
+	app *app
+	ID  string `long:"id" required:"yes" description:"id of the operator"`
+	Out string `long:"out" required:"yes" value-name:"FILE" description:"file for the private key; it must not exist"`
+}
+
+// operatorEntry is how an operator stands in a bundle or in settings.
+type operatorEntry struct {
+	ID        string `json:"id"`
+	PublicKey []byte `json:"publicKey"`
+}
+
+// Execute implements the command.
+func (c *keyNewCommand) Execute([]string) error {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return fmt.Errorf("ctl: %w", err)
+	}
+	if err := writeKey(c.Out, private); err != nil {
+		return err
+	}
+	return c.app.printJSON(operatorEntry{ID: c.ID, PublicKey: public})
+}
+
+func writeKey(file string, key ed25519.PrivateKey) error {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("ctl: %w", err)
+	}
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyMode)
+	if err != nil {
+		return fmt.Errorf("ctl: %w", err)
+	}
+	err = pem.Encode(f, &pem.Block{Type: keyType, Bytes: der})
+	return errors.Join(err, f.Close())
+}
+
+func readKey(file string) (ed25519.PrivateKey, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("ctl: %w", err)
+	}
+	block, _ := pem.Decode(text)
+	if block == nil || block.Type != keyType {
+		return nil, fmt.Errorf("ctl: %s is no PEM file of a private key", file)
+	}
+	key, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, fmt.Errorf("ctl: %s: %w", file, err)
+	}
+	private, ok := key.(ed25519.PrivateKey)
+	if !ok {
+		return nil, fmt.Errorf("ctl: %s is no ed25519 key", file)
+	}
+	return private, nil
+}
+
+const keyCustomerHelp = `Make a customer's bearer token and the hash that goes into "keyHashes" of a bundle. The token is shown this once and kept nowhere.
+
+Example:
+  pumicectl key customer`
+
+type keyCustomerCommand struct{ app *app }
+
+// tokenView is a token in JSON output.
+type tokenView struct {
+	Token   string `json:"token"`
+	KeyHash []byte `json:"keyHash"`
+}
+
+// Execute implements the command.
+func (c *keyCustomerCommand) Execute([]string) error {
+	secret := make([]byte, tokenBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return fmt.Errorf("ctl: %w", err)
+	}
+	token := base64.RawURLEncoding.EncodeToString(secret)
+	hash := bundle.HashKey(token)
+	return c.app.printJSON(tokenView{Token: token, KeyHash: hash[:]})
+}
