Serve those who still come for a moment while draining

Cause: balancers go on sending to an instance for a while after it begins to leave, and each such request was refused as not run: a false refusal at every restart. Change: a drain first answers 503 on /healthz and closes connections after each answer, but still serves, until 200 ms have passed without a new request or 2 s in all; then it refuses as before. Without either of the two times the test of drains does not end.

--- a/server/job.go
+++ b/server/job.go
@@ -229,9 +229,6 @@
 	}
 	j.tell("refused: " + string(f.reason) + " " + f.detail)
 	j.server.cfg.Log.Debugf("server: %s refused, %s", j.id, f.reason)
-	if j.server.draining.Load() {
-		j.w.Header().Set("Connection", "close")
-	}
 	f.write(j.w)
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -30,6 +30,9 @@
 	bodyShare = 2
 	// drainPoll is how often a drain looks whether requests are left.
 	drainPoll = 5 * time.Millisecond
+	// drainQuiet without a new request shows that callers have been sent elsewhere; drainGrace is the longest wait for it.
+	drainQuiet = 200 * time.Millisecond
+	drainGrace = 2 * time.Second
 )
 
 // Paths served besides those of plain services.
@@ -68,9 +71,13 @@
 
 // Server answers callers. It is safe for concurrent use.
 type Server struct {
-	cfg        Config
-	meters     *meters
-	draining   atomic.Bool
+	cfg    Config
+	meters *meters
+	// leaving says that callers are to go elsewhere, draining that new requests are refused.
+	leaving  atomic.Bool
+	draining atomic.Bool
+	// arrived is when the newest request came, in Unix nanoseconds.
+	arrived    atomic.Int64
 	inProgress atomic.Int64
 	bodyBytes  atomic.Int64
 }
@@ -96,13 +103,38 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// Drain refuses new requests and waits until those in progress are finished or ctx ends.
+// Drain tells balancers and callers to go elsewhere, still serves those that come meanwhile, then refuses new requests and
+// waits until all in progress are finished or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
+	s.leaving.Store(true)
 	s.cfg.Log.Infof("server: draining, %d requests in progress", s.InProgress())
 	tick := s.cfg.Clock.NewTicker(drainPoll)
 	defer tick.Stop()
-	for s.InProgress() > 0 {
+	start := s.cfg.Clock.Now()
+	if err := s.wait(ctx, tick, func() bool { return s.quiet(start) }); err != nil {
+		s.draining.Store(true)
+		return err
+	}
+	s.draining.Store(true)
+	if err := s.wait(ctx, tick, func() bool { return s.InProgress() == 0 }); err != nil {
+		return err
+	}
+	s.cfg.Log.Info("server: drained")
+	return nil
+}
+
+// quiet says whether no new requests are to be expected after a drain that began at start.
+func (s *Server) quiet(start time.Time) bool {
+	now := s.cfg.Clock.Now()
+	last := time.Unix(0, s.arrived.Load())
+	if last.Before(start) {
+		last = start
+	}
+	return now.Sub(last) >= drainQuiet || now.Sub(start) >= drainGrace
+}
+
+func (s *Server) wait(ctx context.Context, tick clockwork.Ticker, done func() bool) error {
+	for !done() {
 		select {
 		case <-tick.Chan():
 		case <-ctx.Done():
@@ -110,7 +142,6 @@
 			return ctx.Err()
 		}
 	}
-	s.cfg.Log.Info("server: drained")
 	return nil
 }
 
@@ -122,6 +153,10 @@
 		return
 	}
 	s.meters.requests.Inc(1)
+	s.arrived.Store(s.cfg.Clock.Now().UnixNano())
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.meters.inProgress.Update(s.inProgress.Add(1))
 	defer func() { s.meters.inProgress.Update(s.inProgress.Add(-1)) }()
 	j := newJob(s, w, r)
@@ -164,7 +199,7 @@
 
 // serveHealth tells balancers whether the instance takes requests.
 func (s *Server) serveHealth(w http.ResponseWriter) {
-	if s.draining.Load() || s.cfg.Bundles.Current() == nil {
+	if s.leaving.Load() || s.cfg.Bundles.Current() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/admit"
@@ -336,43 +337,80 @@
 	})
 }
 
+// ask sends a request from another goroutine than the test's.
+func (r *rig) ask(body string) reply {
+	req, err := http.NewRequest("POST", r.front.URL+chatPath, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	res, err := r.caller.RoundTrip(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(data), err: err, closed: res.Close}
+}
+
 func TestDrain(t *testing.T) {
-	Convey("A drain finishes requests in progress and refuses new ones as not run", t, func() {
+	Convey("Given a server that drains with requests in progress", t, func() {
 		r := newRig()
 		Reset(r.close)
-		r.faults(standin.EngineFaults{Delay: 100 * time.Millisecond})
+		clock := clockwork.NewFakeClockAt(time.Now())
+		r.server.cfg.Clock = clock
+		hold := make(chan struct{})
+		r.server.cfg.Keeper = &slowKeeper{keeper: r.keeper, release: hold}
 		var wg sync.WaitGroup
 		replies := make([]reply, 4)
 		for i := range replies {
-			wg.Go(func() {
-				req, _ := http.NewRequest("POST", r.front.URL+chatPath, strings.NewReader(chatBody("price", i%2 == 0)))
-				req.Header.Set("Authorization", "Bearer "+token)
-				res, err := r.caller.RoundTrip(req)
-				if err != nil {
-					replies[i].err = err
-					return
-				}
-				data, err := io.ReadAll(res.Body)
-				res.Body.Close()
-				replies[i] = reply{status: res.StatusCode, body: string(data), err: err}
-			})
+			wg.Go(func() { replies[i] = r.ask(chatBody("price", i%2 == 0)) })
 		}
 		until(func() bool { return len(r.runs()) == len(replies) })
 		done := make(chan error, 1)
 		go func() { done <- r.server.Drain(context.Background()) }()
-		until(r.server.draining.Load)
-		got := r.chat("price", false)
-		So(problemOf(got).Reason, ShouldEqual, ReasonDraining)
-		So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
-		So(got.closed, ShouldBeTrue)
+		until(r.server.leaving.Load)
+		So(clock.BlockUntilContext(context.Background(), 1), ShouldBeNil)
 		So(r.send("GET", healthPath, "").status, ShouldEqual, 503)
-		wg.Wait()
-		So(<-done, ShouldBeNil)
-		for _, got := range replies {
-			So(got.err, ShouldBeNil)
-			So(textOf(got), ShouldEqual, expected("price"))
-		}
-		So(len(r.runs()), ShouldEqual, len(replies))
+
+		Convey("requests that still come are served at first and told to go elsewhere, later ones are refused", func() {
+			clock.Advance(drainQuiet - drainPoll)
+			late := make(chan reply, 1)
+			go func() { late <- r.ask(chatBody("price", false)) }()
+			until(func() bool { return len(r.runs()) == len(replies)+1 })
+			clock.Advance(drainQuiet - drainPoll)
+			So(r.server.draining.Load(), ShouldBeFalse)
+			clock.Advance(drainPoll)
+			until(r.server.draining.Load)
+
+			got := r.chat("price", false)
+			So(problemOf(got).Reason, ShouldEqual, ReasonDraining)
+			So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(got.closed, ShouldBeTrue)
+			So(len(done), ShouldEqual, 0)
+			close(hold)
+			wg.Wait()
+			until(func() bool { clock.Advance(drainPoll); return len(done) == 1 })
+			So(<-done, ShouldBeNil)
+			last := <-late
+			So(last.closed, ShouldBeTrue)
+			for _, got := range append(replies, last) {
+				So(got.err, ShouldBeNil)
+				So(textOf(got), ShouldEqual, expected("price"))
+			}
+			So(len(r.runs()), ShouldEqual, len(replies)+1)
+		})
+		Convey("callers that keep coming do not hold it up for ever", func() {
+			for range drainGrace / drainPoll {
+				r.server.arrived.Store(clock.Now().UnixNano())
+				clock.Advance(drainPoll)
+			}
+			until(r.server.draining.Load)
+			close(hold)
+			wg.Wait()
+			until(func() bool { clock.Advance(drainPoll); return len(done) == 1 })
+			So(<-done, ShouldBeNil)
+		})
 	})
 }
 
