--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -105,6 +105,16 @@
 			n.witness.Acknowledge(n.self.Incarnation, n.self.Incarnation+"/"+x.Id, 10)
 		}
 		witnessed := heap()
+		for i := range budgets {
+			n.Reserve(context.Background(), Request{RequestID: strconv.Itoa(i), Budget: budget.ID{Customer: "c", Budget: list[i].Id}, Bound: 10})
+		}
+		open := heap()
+		for i := range budgets {
+			n.Settle(context.Background(), Usage{RequestID: strconv.Itoa(i), Ran: true})
+		}
+		recorded := heap()
+		b.ReportMetric(float64(int64(open-witnessed))/budgets, "B/open-request")
+		b.ReportMetric(float64(int64(recorded-witnessed))/budgets, "B/queued-record")
 		b.ReportMetric(float64(int64(held-before))/budgets, "B/budget")
 		b.ReportMetric(float64(int64(witnessed-held))/budgets, "B/witnessed-lease")
 		runtime.KeepAlive(n)
@@ -154,3 +164,5 @@
 		_ = conn.Close()
 	}
 }
+
+func leaseOf(tokens uint64) *api.QuotaLease { return &api.QuotaLease{Taken: tokens, Ceiling: tokens} }
--- a/quota/compact.go
+++ b/quota/compact.go
@@ -16,11 +16,11 @@
 	// billingPrefix starts the keys of customers' billing totals.
 	billingPrefix = "billing/"
 	// compactInterval is the time between two rounds of folding usage segments into totals.
-	compactInterval = 10 * time.Second
+	compactInterval = time.Minute
 	// compactLimit bounds the segments folded in one round.
-	compactLimit = 400
+	compactLimit = 5000
 	// syncFor is how long the ledgers of reclaimed leases are brought up to date at each round.
-	syncFor = time.Minute
+	syncFor = 2 * compactInterval
 )
 
 // storedSegment is a segment with its version, to delete it by.
--- a/quota/config.go
+++ b/quota/config.go
@@ -57,6 +57,9 @@
 	storeTimeout = 3 * time.Second
 	// tickDivisor is how many ticks make a flush interval.
 	tickDivisor = 4
+	// recordInterval is how many flush intervals pass between two usage segments. Entry instances keep their settlements
+	// until the segment is durable.
+	recordInterval = 5
 	// settledInterval is how many flush intervals pass between writes that only bring the ledger up to date.
 	settledInterval = 10
 	// idleAfter is how long a lease is kept without use.
--- a/quota/drain.go
+++ b/quota/drain.go
@@ -12,6 +12,7 @@
 	ticker := m.cfg.Clock.NewTicker(m.cfg.flushInterval() / tickDivisor)
 	defer ticker.Stop()
 	for {
+		m.resend(ctx)
 		m.writeRecords(ctx)
 		m.writeLedgers(ctx)
 		leases, records, settlements := len(m.Status()), m.segments.pending(), m.entry.undelivered()
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -66,7 +66,8 @@
 	defer m.end()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return m.runLedgers(ctx) })
-	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.writeRecords) })
+	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.resend) })
+	g.Go(func() error { return m.loop(ctx, recordInterval*m.cfg.flushInterval(), nil, m.writeRecords) })
 	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
 	g.Go(func() error { return m.loop(ctx, compactInterval, nil, m.compact) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.resolveOrphans) })
@@ -120,9 +121,11 @@
 	_ = g.Wait() // The functions return no errors.
 }
 
-// writeRecords writes usage records and repeats settlements.
+// resend repeats settlements.
+func (m *Manager) resend(context.Context) { m.entry.resend() }
+
+// writeRecords writes usage records.
 func (m *Manager) writeRecords(ctx context.Context) {
-	m.entry.resend()
 	if err := m.segments.flush(ctx); err != nil {
 		m.cfg.Log.Debugf("quota: usage records kept back: %v", err)
 	}
--- a/quota/report.go
+++ b/quota/report.go
@@ -11,8 +11,9 @@
 
 // BudgetReport is what the platform holds of a budget, in tokens.
 type BudgetReport struct {
-	Budget   string
-	Granted  budget.Tokens
+	Budget  string
+	Granted budget.Tokens
+	// Refunded is the part of Recorded that billed a request again under another lease.
 	Refunded budget.Tokens
 	// Settled is what the ledger says was billed, over open and closed leases.
 	Settled budget.Tokens
@@ -22,7 +23,7 @@
 	Open, Closed []*api.QuotaLease
 	// Parked may have been spent under closed leases, and no record accounts for it.
 	Parked budget.Tokens
-	// Records and Recorded count the usage records on file and their tokens; Refunded of them were billed twice.
+	// Records and Recorded count the usage records on file and their tokens.
 	Records  uint64
 	Recorded budget.Tokens
 	AtBound  uint64
@@ -78,7 +79,7 @@
 	r := BudgetReport{
 		Budget:   b.Budget,
 		Granted:  budget.Tokens(b.Granted),
-		Refunded: budget.Tokens(b.Refunded),
+		Refunded: budget.Tokens(max(b.Refunded, billing.GetRefunded())),
 		Settled:  budget.Tokens(b.ClosedSpend),
 		Free:     budget.Free(b),
 		Parked:   budget.Tokens(b.Unresolved),
