--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -56,7 +56,10 @@
 
 // Differing returns two bundles cut down to the pages in which the manifests differ; see ChangesBetween.
 func Differing(ctx context.Context, store platform.Store, old, next *api.Manifest, parts [][]byte) (from, to *api.Bundle, err error) {
-	f := localFetcher{parts: byHash(parts), rest: storeFetcher{store: store}}
+	return differing(ctx, localFetcher{parts: byHash(parts), rest: storeFetcher{store: store, parallel: parallel}}, old, next)
+}
+
+func differing(ctx context.Context, f fetcher, old, next *api.Manifest) (from, to *api.Bundle, err error) {
 	from = &api.Bundle{}
 	if old != nil {
 		if from, err = loadBundle(ctx, cutDown(old, next), f); err != nil {
@@ -69,7 +72,7 @@
 
 // ReadBundle reads a whole bundle from the platform.
 func ReadBundle(ctx context.Context, store platform.Store, m *api.Manifest) (*api.Bundle, error) {
-	return loadBundle(ctx, m, storeFetcher{store: store})
+	return loadBundle(ctx, m, storeFetcher{store: store, parallel: parallel})
 }
 
 func loadBundle(ctx context.Context, m *api.Manifest, f fetcher) (*api.Bundle, error) {
--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -12,8 +12,8 @@
 	"pumiceshelf/platform"
 )
 
-// fetchParallel bounds the reads of the platform that one fetch has open at once.
-const fetchParallel = 8
+// parallel bounds the calls to the platform that one fetch or roll has open at once.
+const parallel = 8
 
 // want is a part to fetch. Pack names the platform object that holds it.
 type want struct {
@@ -30,13 +30,16 @@
 var errPartsMissing = errors.New("bundle: parts missing")
 
 // storeFetcher reads packs from the platform.
-type storeFetcher struct{ store platform.Store }
+type storeFetcher struct {
+	store    platform.Store
+	parallel int
+}
 
 func (f storeFetcher) fetch(ctx context.Context, wants []want) (map[Hash][]byte, error) {
 	packs := packsOf(wants)
 	found := make([]*api.PartPack, len(packs))
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(fetchParallel)
+	group.SetLimit(f.parallel)
 	for i, h := range packs {
 		group.Go(func() (err error) {
 			found[i], err = readPack(ctx, f.store, h)
--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -12,12 +12,8 @@
 	"pumiceshelf/platform"
 )
 
-const (
-	// rollParallel bounds the writes that a roll has open at once.
-	rollParallel = 8
-	// pointerTries bounds the attempts at moving the pointer.
-	pointerTries = 8
-)
+// writeTries bounds the attempts at one write.
+const writeTries = 8
 
 // ErrSuperseded means that the pointer does not name the bundle that the manifest replaces: another operator won.
 // The error is a *Superseded.
@@ -59,30 +55,35 @@
 	if err != nil {
 		return err
 	}
-	pointer, err := ReadPointer(ctx, store)
+	r := roll{store: store, signed: signed, manifest: m, parts: byHash(parts), parallel: parallel}
+	return r.run(ctx)
+}
+
+type roll struct {
+	store    platform.Store
+	signed   *api.SignedManifest
+	manifest *api.Manifest
+	parts    map[Hash][]byte
+	parallel int
+}
+
+func (r *roll) run(ctx context.Context) error {
+	pointer, err := ReadPointer(ctx, r.store)
 	if err != nil {
 		return err
 	}
-	r := roll{store: store, signed: signed, manifest: m, parts: byHash(parts)}
 	if done, err := r.settled(ctx, pointer); done || err != nil {
 		return err
 	}
 	if err := r.writeParts(ctx, pointer); err != nil {
 		return err
 	}
-	if err := r.create(ctx, manifestKey(HashOf(signed.Manifest)), encode(signed)); err != nil {
+	if err := r.create(ctx, manifestKey(HashOf(r.signed.Manifest)), encode(r.signed)); err != nil {
 		return err
 	}
 	return r.movePointer(ctx, pointer)
 }
 
-type roll struct {
-	store    platform.Store
-	signed   *api.SignedManifest
-	manifest *api.Manifest
-	parts    map[Hash][]byte
-}
-
 // settled says whether the pointer names this bundle, now or before its successor, and gives *Superseded when the
 // pointer names anything but the bundle that this one replaces.
 func (r *roll) settled(ctx context.Context, p Pointer) (bool, error) {
@@ -135,11 +136,11 @@
 	if err != nil {
 		return nil
 	}
-	changes, err := ChangesBetween(ctx, r.store, m, p.Manifest, nil)
+	from, to, err := differing(ctx, storeFetcher{store: r.store, parallel: r.parallel}, m, p.Manifest)
 	if err != nil {
 		return nil
 	}
-	return changes
+	return Diff(from, to)
 }
 
 // writeParts writes the packs that the bundle in force does not have.
@@ -149,7 +150,7 @@
 		have[h] = true
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(rollParallel)
+	group.SetLimit(r.parallel)
 	for _, h := range pageHashes(r.manifest) {
 		if have[h] {
 			continue
@@ -202,23 +203,34 @@
 	return pack, nil
 }
 
-// create writes an object that is named by its content. One that exists already is the same.
+// create writes an object that is named by its content. One that exists already is written again: its new version keeps
+// a sweep from removing it.
 func (r *roll) create(ctx context.Context, key string, value []byte) error {
-	_, err := r.store.Put(ctx, key, value, 0)
-	if errors.Is(err, platform.ErrAmbiguous) {
-		_, err = r.store.Put(ctx, key, value, 0)
-	}
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		return nil
+	var last error
+	var version platform.Version
+	for range writeTries {
+		_, last = r.store.Put(ctx, key, value, version)
+		if last == nil {
+			return nil
+		}
+		if !errors.Is(last, platform.ErrAmbiguous) && !errors.Is(last, platform.ErrConflict) {
+			break
+		}
+		obj, err := r.store.Get(ctx, key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			last = err
+			break
+		}
+		version = obj.Version
 	}
-	return fmt.Errorf("bundle: write %s: %w", key, err)
+	return fmt.Errorf("bundle: write %s: %w", key, last)
 }
 
 // movePointer moves the pointer by conditional update. A lost answer or a conflict is resolved by reading it back.
 func (r *roll) movePointer(ctx context.Context, p Pointer) error {
 	value := encode(&api.BundlePointer{Number: r.manifest.Number, Signed: r.signed})
 	var last error
-	for range pointerTries {
+	for range writeTries {
 		_, err := r.store.Put(ctx, PointerKey, value, p.Version)
 		if err == nil {
 			return nil
--- a/bundle/source.go
+++ b/bundle/source.go
@@ -24,7 +24,7 @@
 }
 
 func newStoreSource(store platform.Store, r metrics.Registry) storeSource {
-	return storeSource{storeFetcher: storeFetcher{store: store}, metrics: r}
+	return storeSource{storeFetcher: storeFetcher{store: store, parallel: parallel}, metrics: r}
 }
 
 func (s storeSource) fetch(ctx context.Context, wants []want) (map[Hash][]byte, error) {
--- /dev/null
+++ b/bundle/sweep_test.go
@@ -0,0 +1,143 @@
+package bundle
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"pumiceshelf/api"
+	"pumiceshelf/internal/standin"
+	"pumiceshelf/platform"
+)
+
+// interruptedStore runs something before some of its calls.
+type interruptedStore struct {
+	platform.Store
+	before func()
+}
+
+func (s *interruptedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.before()
+	return s.Store.Get(ctx, key)
+}
+
+func (s *interruptedStore) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	s.before()
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+func (s *interruptedStore) Delete(ctx context.Context, key string, expected platform.Version) error {
+	s.before()
+	return s.Store.Delete(ctx, key, expected)
+}
+
+// recurring returns one of a few bundles, so that parts come and go.
+func recurring(t *rapid.T, number uint64) *api.Bundle {
+	b := testBundle(number, 2, 1)
+	kind := rapid.IntRange(0, 2).Draw(t, "kind")
+	b.Customers[0].Weight = uint32(kind)
+	b.Endpoints[0].Concurrency = uint32(kind)
+	return b
+}
+
+// TestSweepNeverTakesWhatIsInForce lets operators roll and sweep in the midst of each other's calls.
+func TestSweepNeverTakesWhatIsInForce(t *testing.T) {
+	ctx := context.Background()
+	rapid.Check(t, func(rt *rapid.T) {
+		objects := standin.NewObjects()
+		mustRoll(t, objects, testBundle(1, 2, 1))
+		number := uint64(1)
+		rollOne := func(store platform.Store) {
+			number++
+			signed, parts := signedNext(objects.Link("operator"), recurring(rt, number), ana, badr)
+			m, err := decodeManifest(signed)
+			if err != nil {
+				rt.Fatal(err)
+			}
+			// One call at a time, so that the interruptions drawn come in the same order in every run.
+			r := roll{store: store, signed: signed, manifest: m, parts: byHash(parts), parallel: 1}
+			if err := r.run(ctx); err != nil && !errors.Is(err, ErrSuperseded) {
+				rt.Fatal(err)
+			}
+		}
+		depth := 0
+		var others func()
+		others = func() {
+			if depth == 2 || rapid.IntRange(0, 4).Draw(rt, "interrupt") > 0 {
+				return
+			}
+			depth++
+			defer func() { depth-- }()
+			store := &interruptedStore{Store: objects.Link("other"), before: others}
+			if rapid.Bool().Draw(rt, "sweep") {
+				_, _ = Sweep(ctx, store, 1)
+			} else {
+				rollOne(store)
+			}
+		}
+		for range rapid.IntRange(2, 10).Draw(rt, "steps") {
+			if rapid.Bool().Draw(rt, "sweep first") {
+				_, _ = Sweep(ctx, &interruptedStore{Store: objects.Link("sweeper"), before: others}, 1)
+			}
+			rollOne(&interruptedStore{Store: objects.Link("roller"), before: others})
+			p, err := ReadPointer(ctx, objects.Link("reader"))
+			if err != nil {
+				rt.Fatal(err)
+			}
+			if _, err := ReadBundle(ctx, objects.Link("reader"), p.Manifest); err != nil {
+				rt.Fatalf("bundle %d in force cannot be read: %v", p.Number(), err)
+			}
+		}
+	})
+}
+
+func TestSweepRemovesOldParts(t *testing.T) {
+	ctx := context.Background()
+	Convey("Given thirty bundles, the operators changed at the third", t, func() {
+		objects := standin.NewObjects()
+		store := objects.Link("ana")
+		for number := uint64(1); number <= 30; number++ {
+			b := testBundle(number, 2, 1)
+			b.Customers[0].Weight = uint32(number)
+			by := []operator{ana, badr}
+			if number >= 3 {
+				b.Operators = publics(badr, carla)
+			}
+			if number > 3 {
+				by = []operator{badr, carla}
+			}
+			signed, parts := signedNext(store, b, by...)
+			So(Roll(ctx, store, signed, parts), ShouldBeNil)
+		}
+		Convey("a sweep notes, the next after a roll removes, and a fresh instance still trusts the newest", func() {
+			first, err := Sweep(ctx, store, 10)
+			So(err, ShouldBeNil)
+			So(first.Removed, ShouldEqual, 0)
+			again, err := Sweep(ctx, store, 10)
+			So(err, ShouldBeNil)
+			So(again.Removed, ShouldEqual, 0)
+			signed, parts := signedNext(store, withOperators(testBundle(31, 2, 1), badr, carla), badr, carla)
+			So(Roll(ctx, store, signed, parts), ShouldBeNil)
+			last, err := Sweep(ctx, store, 10)
+			So(err, ShouldBeNil)
+			// Bundle 31 has the customers of bundle 1, so that one of the parts noted is in use again.
+			So(last.Removed, ShouldEqual, again.Noted-1)
+			manifests, err := store.List(ctx, manifestPrefix, "", 100)
+			So(err, ShouldBeNil)
+			So(len(manifests), ShouldEqual, 13)
+			f := newFleet(t, nil)
+			f.objects = objects
+			n := f.prepare("d1", "a1")
+			So(n.holder.readPointer(ctx), ShouldBeNil)
+			So(n.holder.Number(), ShouldEqual, 31)
+		})
+	})
+}
+
+func withOperators(b *api.Bundle, list ...operator) *api.Bundle {
+	b.Operators = publics(list...)
+	return b
+}
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -23,6 +23,7 @@
 		{"diff", "Show what a bundle would change", diffHelp, &diffCommand{app: a}},
 		{"sign", "Approve a bundle", signHelp, &signCommand{app: a}},
 		{"roll", "Roll an approved bundle", rollHelp, &rollCommand{app: a}},
+		{"sweep", "Remove old bundles' parts from the platform", sweepHelp, &sweepCommand{app: a}},
 		{"status", "Show which bundle is in force where", bundleStatusHelp, &bundleStatusCommand{app: a}},
 	}
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -174,6 +174,13 @@
 			So(code, ShouldEqual, ctl.ExitSuperseded)
 			So(errText, ShouldContainSubstring, `grants[second] = {"id":"second","tokens":"70"}`)
 		})
+		Convey("a sweep says what it removed and noted", func() {
+			code, out, _ := b.run("bundle", "sweep", "--keep", "1")
+			So(code, ShouldEqual, ctl.ExitOK)
+			So(out, ShouldEqual, "0 objects removed, 0 noted for the next sweep\n")
+			code, _, _ = b.run("bundle", "sweep", "--keep", "0")
+			So(code, ShouldEqual, ctl.ExitUsage)
+		})
 		Convey("one signature of two is not enough", func() {
 			code, _, _ := b.run("bundle", "sign", second, "--operator", "ana", "--key", b.path("ana.key"), "--signed", b.path("one"))
 			So(code, ShouldEqual, ctl.ExitOK)
@@ -264,7 +271,7 @@
 	})
 	Convey("Every command's help has an example", t, func() {
 		for _, c := range []string{
-			"bundle check", "bundle diff", "bundle sign", "bundle roll", "bundle status",
+			"bundle check", "bundle diff", "bundle sign", "bundle roll", "bundle status", "bundle sweep",
 			"key new", "key customer", "status", "endpoints", "budget", "explain",
 		} {
 			var out bytes.Buffer
--- a/ctl/roll.go
+++ b/ctl/roll.go
@@ -51,6 +51,7 @@
 		return err
 	}
 	c.app.progress("bundle %d rolled", l.bundle.Number)
+	c.app.sweepSometimes(l.bundle.Number, store)
 	if c.Wait <= 0 {
 		return nil
 	}
