Bound what membership costs as the fleet grows

Cause: in a fleet of 160 each instance sent 16 heartbeats and 15.7 KB a second and did not see a crash in 20 s: all probed all others at the start, kept a connection to each, and spread news of instances that everyone had on the list. Change: instances of other domains are taken from the list until a visitor misses them; idle connections are closed after 20 s; news goes newest first, and what the first list holds is passed on three times at most; the view is built anew once an interval or when who is live changes, in place of at each heartbeat.

--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"pumiceshelf/api"
+	"pumiceshelf/instance"
+	"pumiceshelf/internal/standin"
+)
+
+// BenchmarkFleet reports what membership costs an instance and how long a crash takes to be seen, with the
+// defaults of the settings on loopback. Run with -benchtime=1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ members, domains int }{{6, 3}, {24, 3}, {96, 8}, {160, 8}} {
+		b.Run(fmt.Sprintf("members=%d/domains=%d", size.members, size.domains), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, size.members, size.domains)
+			}
+		})
+	}
+}
+
+// wire counts the bytes of connections dialled, both ways.
+type wire struct{ bytes atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.wire.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.wire.bytes.Add(int64(n))
+	return n, err
+}
+
+func (w *wire) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := defaultDialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, wire: w}, nil
+}
+
+type benchFleet struct {
+	nodes   []*node
+	wire    wire
+	objects *standin.Objects
+}
+
+func startBenchFleet(b *testing.B, members, domains int) *benchFleet {
+	f := &benchFleet{objects: standin.NewObjects()}
+	list := &api.InstanceList{}
+	var listeners []net.Listener
+	for n := range members {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		name := fmt.Sprintf("entry-%03d", n)
+		list.Instances = append(list.Instances, &api.Instance{
+			Name: name, Incarnation: string(instance.NewIncarnation(name)), Domain: fmt.Sprint("domain-", n%domains),
+			Region: "region-1", PeerAddress: l.Addr().String(), AdminAddress: "127.0.0.1:9999",
+		})
+	}
+	f.objects.SetInstances(list)
+	for n, inst := range list.Instances {
+		f.nodes = append(f.nodes, f.start(inst, listeners[n]))
+	}
+	return f
+}
+
+func (f *benchFleet) start(inst *api.Instance, l net.Listener) *node {
+	n := &node{inst: inst, metrics: metrics.NewRegistry()}
+	n.Fleet = New(Config{
+		Settings: &api.PeerSettings{
+			HeartbeatInterval: durationpb.New(500 * time.Millisecond),
+			FailureTimeout:    durationpb.New(2 * time.Second),
+			HeartbeatFanout:   8,
+		},
+		Self:    inst,
+		Clock:   clockwork.NewRealClock(),
+		Log:     &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		Metrics: n.metrics,
+		Lister:  f.objects.Link(inst.Name),
+		Dial:    f.wire.dial,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = n.Serve(ctx, l) })
+	done.Go(func() { _ = n.Run(ctx) })
+	var once sync.Once
+	n.kill = func() { once.Do(func() { cancel(); done.Wait() }) }
+	return n
+}
+
+func (f *benchFleet) sent() int64 {
+	var sum int64
+	for _, n := range f.nodes {
+		sum += heartbeatsSent.Counter(n.metrics).Count()
+	}
+	return sum
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+const measureTime = 8 * time.Second
+
+func measureFleet(b *testing.B, members, domains int) {
+	base := heapNow()
+	f := startBenchFleet(b, members, domains)
+	settle := 5*time.Second + time.Duration(members)*80*time.Millisecond
+	time.Sleep(settle)
+	sent, bytes, processor, calls := f.sent(), f.wire.bytes.Load(), processorTime(), f.objects.Calls().Reads
+	time.Sleep(measureTime)
+	per := measureTime.Seconds() * float64(members)
+	b.ReportMetric(float64(f.sent()-sent)/per, "heartbeats/s")
+	b.ReportMetric(float64(f.wire.bytes.Load()-bytes)/per, "B/s")
+	b.ReportMetric(100*(processorTime()-processor).Seconds()/per, "core-%")
+	b.ReportMetric(float64(f.objects.Calls().Reads-calls)/measureTime.Seconds(), "list-reads/s")
+	b.ReportMetric(float64(heapNow()-base)/float64(members)/1024, "heap-KB")
+	f.reportDetection(b)
+	b.ReportMetric(0, "ns/op")
+	var work sync.WaitGroup
+	for _, n := range f.nodes {
+		work.Go(n.kill)
+	}
+	work.Wait()
+}
+
+func heapNow() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// reportDetection kills an instance and reports when the others treat it as gone.
+func (f *benchFleet) reportDetection(b *testing.B) {
+	victim := f.nodes[0]
+	killed := time.Now()
+	go victim.kill()
+	inside, outside := []time.Duration{}, []time.Duration{}
+	seen := make(map[*node]bool)
+	for time.Since(killed) < testPatience && len(seen) < len(f.nodes)-1 {
+		for _, n := range f.nodes[1:] {
+			if seen[n] || !sees(n, victim, false)() {
+				continue
+			}
+			seen[n] = true
+			if n.inst.Domain == victim.inst.Domain {
+				inside = append(inside, time.Since(killed))
+			} else {
+				outside = append(outside, time.Since(killed))
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	b.ReportMetric(last(inside), "own-domain-s")
+	b.ReportMetric(last(outside), "others-s")
+	b.ReportMetric(float64(len(f.nodes)-1-len(seen)), "unseen")
+}
+
+func last(list []time.Duration) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list[len(list)-1].Seconds()
+}
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -44,7 +46,7 @@
 	p := f.pools[id]
 	if p == nil {
 		inst := m.instance
-		p = newPool(func(ctx context.Context) (*drpcconn.Conn, error) { return f.dial(ctx, inst) })
+		p = newPool(f.cfg.Clock, func(ctx context.Context) (*drpcconn.Conn, error) { return f.dial(ctx, inst) })
 		f.pools[id] = p
 	}
 	return p
@@ -114,6 +116,14 @@
 	}
 }
 
+// idlePools returns all pools, now and then, to have their idle connections closed. It needs the lock.
+func (f *Fleet) idlePools() []*pool {
+	if f.tick%idleSweep != 0 {
+		return nil
+	}
+	return slices.Collect(maps.Values(f.pools))
+}
+
 // drop ends the connections to an incarnation that is gone. A later return opens a new pool.
 func (f *Fleet) drop(id instance.Incarnation) {
 	f.mu.Lock()
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -179,6 +179,7 @@
 	self := proto.Clone(f.table.self).(*api.Instance)
 	self.Leaving = true
 	f.table.self = self
+	f.table.changed = true
 	f.table.news.push(&api.MemberUpdate{Instance: self}, len(f.table.members))
 	f.publish()
 	f.mu.Unlock()
@@ -204,19 +205,24 @@
 	return out
 }
 
-// publish makes the table's state the view. It needs the lock.
+// publish makes the table's state the view if who is known, live or leaving changed. It needs the lock.
 func (f *Fleet) publish() {
-	before := f.snap.Load()
-	after := f.table.snapshot()
-	f.snap.Store(after)
-	f.count.live.Update(int64(liveCount(after)))
-	if sameLive(before, after) {
+	if !f.table.changed {
 		return
 	}
+	f.table.changed = false
+	f.refresh()
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// refresh makes the table's state the view, with what instances last said. It needs the lock.
+func (f *Fleet) refresh() {
+	s := f.table.snapshot()
+	f.snap.Store(s)
+	f.count.live.Update(int64(liveCount(s)))
+}
+
 func liveCount(s *snapshot) int {
 	n := 0
 	for _, m := range s.members {
@@ -227,21 +233,6 @@
 	return n
 }
 
-// sameLive compares who is known, live and leaving; heartbeat times do not count as a change.
-func sameLive(a, b *snapshot) bool {
-	if len(a.members) != len(b.members) {
-		return false
-	}
-	for i := range a.members {
-		x, y := a.members[i], b.members[i]
-		if x.Live != y.Live || x.Instance.GetIncarnation() != y.Instance.GetIncarnation() ||
-			x.Instance.GetLeaving() != y.Instance.GetLeaving() {
-			return false
-		}
-	}
-	return true
-}
-
 // wake lets the heartbeat loop look for something to spread before its next interval.
 func (f *Fleet) wake() {
 	select {
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -169,12 +169,17 @@
 	f.drop(id)
 }
 
-// expire lets instances go that were silent for too long.
+// expire lets instances go that were silent for too long, and connections that were not used for long.
 func (f *Fleet) expire() {
 	f.mu.Lock()
 	gone := f.table.expire(f.cfg.Clock.Now())
+	f.refresh()
 	f.publish()
+	idle := f.idlePools()
 	f.mu.Unlock()
+	for _, p := range idle {
+		p.closeIdle(f.cfg.Clock.Now())
+	}
 	for _, id := range gone {
 		f.count.gone.Inc(1)
 		f.cfg.Log.Warnf("peer: %s is gone", id)
--- a/peer/news.go
+++ b/peer/news.go
@@ -13,6 +13,8 @@
 	newsLimit = 1024
 	// newsRepeat times the logarithm of the fleet's size is how often an update is passed on.
 	newsRepeat = 3
+	// curbedRepeat is how often an update is passed on that most others have already.
+	curbedRepeat = 3
 )
 
 // newsQueue holds updates to pass on with heartbeats, each a bounded number of times.
@@ -27,13 +29,21 @@
 	left   int
 }
 
-// push adds an update for a fleet of the given size. The oldest is dropped when the queue is full.
+// push adds an update for a fleet of the given size, to go before all others. The last is dropped when the queue is full.
 func (q *newsQueue) push(u *api.MemberUpdate, size int) {
 	q.pushed++
 	if len(q.items) == newsLimit {
-		q.items = q.items[1:]
+		q.items = q.items[:newsLimit-1]
+	}
+	item := newsItem{update: u, left: newsRepeat * bits.Len(uint(size))}
+	q.items = append([]newsItem{item}, q.items...)
+}
+
+// curb lets all updates be passed on at most a few times.
+func (q *newsQueue) curb() {
+	for i := range q.items {
+		q.items[i].left = min(q.items[i].left, curbedRepeat)
 	}
-	q.items = append(q.items, newsItem{update: u, left: newsRepeat * bits.Len(uint(size))})
 }
 
 // take returns the updates for one heartbeat and counts them as passed on once.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 )
@@ -16,6 +17,10 @@
 	connsPerPeer = 64
 	// idlePerPeer bounds the idle connections kept to one instance.
 	idlePerPeer = 8
+	// idleLimit is how long an idle connection is kept.
+	idleLimit = 20 * time.Second
+	// idleSweep is the interval, in heartbeat intervals, at which idle connections are looked for.
+	idleSweep = 20
 	// callLimit bounds a call whose caller named no deadline.
 	callLimit = 30 * time.Second
 )
@@ -25,19 +30,27 @@
 
 // pool holds the connections to one incarnation. A drpc connection runs one call at a time, so calls side by side take one each.
 type pool struct {
+	clock clockwork.Clock
 	dial  func(ctx context.Context) (*drpcconn.Conn, error)
 	slots chan struct{}
 
 	mu     sync.Mutex
-	idle   []*drpcconn.Conn
+	idle   []idleConn
 	open   map[*drpcconn.Conn]bool
 	closed chan struct{}
 }
 
+// idleConn is a connection that waits for a call.
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
 var _ drpc.Conn = (*pool)(nil)
 
-func newPool(dial func(ctx context.Context) (*drpcconn.Conn, error)) *pool {
+func newPool(clock clockwork.Clock, dial func(ctx context.Context) (*drpcconn.Conn, error)) *pool {
 	return &pool{
+		clock:  clock,
 		dial:   dial,
 		slots:  make(chan struct{}, connsPerPeer),
 		open:   make(map[*drpcconn.Conn]bool),
@@ -151,7 +164,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
-		conn := p.idle[0]
+		conn := p.idle[0].conn
 		p.idle = p.idle[1:]
 		if !ended(conn) {
 			return conn
@@ -166,7 +179,7 @@
 	p.mu.Lock()
 	keep := p.open[conn] && !cancelled && !ended(conn) && len(p.idle) < idlePerPeer
 	if keep {
-		p.idle = append(p.idle, conn)
+		p.idle = append(p.idle, idleConn{conn: conn, since: p.clock.Now()})
 	} else {
 		delete(p.open, conn)
 	}
@@ -198,6 +211,21 @@
 	return len(conns)
 }
 
+// closeIdle closes the connections that were not used for idleLimit.
+func (p *pool) closeIdle(now time.Time) {
+	p.mu.Lock()
+	var old []*drpcconn.Conn
+	for len(p.idle) > 0 && now.Sub(p.idle[0].since) > idleLimit {
+		old = append(old, p.idle[0].conn)
+		delete(p.open, p.idle[0].conn)
+		p.idle = p.idle[1:]
+	}
+	p.mu.Unlock()
+	for _, conn := range old {
+		_ = conn.Close()
+	}
+}
+
 // shut discards all connections and lets none be opened again.
 func (p *pool) shut() {
 	p.mu.Lock()
--- a/peer/table.go
+++ b/peer/table.go
@@ -40,11 +40,6 @@
 	platformReachable bool
 }
 
-// wantsProbe says that the member's state is open and a heartbeat would settle it.
-func (m *member) wantsProbe() bool {
-	return !m.gone && (m.lastHeard.IsZero() || !m.silentSince.IsZero())
-}
-
 // table holds all known instances but the own one. It does no I/O and reads no clock; the caller serialises access.
 type table struct {
 	self           *api.Instance
@@ -52,6 +47,10 @@
 	members        map[instance.Incarnation]*member
 	// news holds updates that wait to be spread.
 	news newsQueue
+	// hasList says that the platform's list was read.
+	hasList bool
+	// changed says that who is known, live or leaving changed since the last snapshot.
+	changed bool
 }
 
 func newTable(self *api.Instance, failureTimeout time.Duration) *table {
@@ -78,6 +77,7 @@
 	}
 	m = &member{instance: proto.Clone(inst).(*api.Instance)}
 	t.members[id] = m
+	t.changed = true
 	t.news.push(&api.MemberUpdate{Instance: m.instance}, len(t.members))
 	t.doubtNamesakes(m)
 	return m
@@ -90,6 +90,7 @@
 	}
 	m.instance = proto.Clone(m.instance).(*api.Instance)
 	m.instance.Leaving = true
+	t.changed = true
 	t.news.push(&api.MemberUpdate{Instance: m.instance}, len(t.members))
 }
 
@@ -111,6 +112,7 @@
 		return false
 	}
 	returned = m.gone
+	t.changed = t.changed || returned
 	m.lastHeard = now
 	m.silentSince = time.Time{}
 	m.missed = false
@@ -167,6 +169,7 @@
 		return
 	}
 	m.final = true
+	t.changed = true
 	if !m.gone {
 		m.gone = true
 		m.goneSince = now
@@ -181,17 +184,24 @@
 		switch {
 		case m.gone && !m.listed && now.Sub(m.goneSince) >= forgetAfter:
 			delete(t.members, id)
+			t.changed = true
 		case !m.gone && m.missed && now.Sub(m.silentSince) >= t.failureTimeout:
 			m.gone = true
 			m.goneSince = now
+			t.changed = true
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// list takes over the platform's list. It lags, so it adds instances and never removes one that answers.
+// list takes over the platform's list. It lags, so it adds instances and never removes one that answers. Most others
+// have read what the first list holds.
 func (t *table) list(l *api.InstanceList) {
+	if !t.hasList {
+		defer t.news.curb()
+	}
+	t.hasList = true
 	for _, m := range t.members {
 		m.listed = false
 	}
--- a/peer/targets.go
+++ b/peer/targets.go
@@ -53,11 +53,17 @@
 	return p.out
 }
 
+// unsettled says that a heartbeat is needed to know a member's state. Instances of other domains that were never heard of
+// are taken to be live until one of their many visitors misses them.
+func (t *table) unsettled(m *member) bool {
+	return !m.gone && (!m.silentSince.IsZero() || (m.lastHeard.IsZero() && t.inside(m)))
+}
+
 // open returns the members whose state a heartbeat would settle, own domain first.
 func (t *table) open() []*member {
 	var out []*member
 	for _, m := range t.members {
-		if m.wantsProbe() {
+		if t.unsettled(m) {
 			out = append(out, m)
 		}
 	}
