Let no forged number keep an instance from pulling newer bundles

Cause: the comparison with peers passed over all numbers up to that of a manifest kept out. Whoever reaches the peers' port could announce an unapproved manifest with a huge number, and the instance compared no more.

--- a/bundle/bench_test.go
+++ b/bundle/bench_test.go
@@ -153,7 +153,7 @@
 	}
 	bundle := testBundle(1, 100, 2)
 	mustRoll(b, f.objects, bundle)
-	allHave2(b, f, 1)
+	allHave(b, f.list(), 1)
 	var slowest []time.Duration
 	before := f.objects.Calls()
 	started := time.Now()
@@ -163,7 +163,7 @@
 		f.setDown(down)
 		mustRoll(b, f.objects, topUp(bundle))
 		moved := time.Now()
-		allHave2(b, f, bundle.Number)
+		allHave(b, f.list(), bundle.Number)
 		slowest = append(slowest, time.Since(moved))
 	}
 	elapsed := time.Since(started).Seconds()
@@ -193,12 +193,6 @@
 	f.setCut(func(a, b string) bool { return !l.silent && a == l.a && b == l.b })
 }
 
-func allHave2(b *testing.B, f *testFleet, number uint64) {
-	for _, n := range f.list() {
-		eventually(b, n.self.Name, func() bool { return n.holder.Number() >= number })
-	}
-}
-
 // BenchmarkNetwork reports the payload that each instance receives and the most that one sends for a top-up at the
 // target size, in a domain of 50 instances.
 func BenchmarkNetwork(b *testing.B) {
@@ -210,12 +204,12 @@
 	for i := range instances {
 		f.add("d1", fmt.Sprintf("i%d", i))
 	}
-	allHave2(b, f, 1)
+	allHave(b, f.list(), 1)
 	time.Sleep(time.Second)
 	received, sent := f.payload()
 	for b.Loop() {
 		mustRoll(b, f.objects, topUp(bundle))
-		allHave2(b, f, bundle.Number)
+		allHave(b, f.list(), bundle.Number)
 	}
 	receivedAfter, sentAfter := f.payload()
 	var most int64
--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -218,16 +218,9 @@
 
 // keepOut reports why a manifest is not in force. What cannot change is remembered, so that it is not tried again.
 func (h *Holder) keepOut(signed *api.SignedManifest, err error) {
-	var problems fieldcheck.Problems
-	switch {
-	case errors.Is(err, ErrNotApproved):
-		metricUnapproved.Counter(h.cfg.Metrics).Inc(1)
-	case errors.Is(err, ErrMalformed):
-		metricMalformed.Counter(h.cfg.Metrics).Inc(1)
-	case errors.As(err, &problems):
-		metricInvalid.Counter(h.cfg.Metrics).Inc(1)
-	default:
-		metricFetchRetry.Counter(h.cfg.Metrics).Inc(1)
+	reason, final := rejection(err)
+	reason.Counter(h.cfg.Metrics).Inc(1)
+	if !final {
 		h.cfg.Log.Warnf("bundle: newer bundle not fetched, tried again: %v", err)
 		return
 	}
@@ -238,3 +231,17 @@
 	h.failure.Store(&failure{hash: HashOf(signed.GetManifest()), number: number, text: fmt.Sprintf("bundle %d kept out: %v", number, err)})
 	h.cfg.Log.Errorf("bundle: bundle %d kept out: %v", number, err)
 }
+
+// rejection returns the counter of an error's reason and whether trying again cannot help.
+func rejection(err error) (reason telemetry.Desc, final bool) {
+	var problems fieldcheck.Problems
+	switch {
+	case errors.Is(err, ErrNotApproved):
+		return metricUnapproved, true
+	case errors.Is(err, ErrMalformed):
+		return metricMalformed, true
+	case errors.As(err, &problems):
+		return metricInvalid, true
+	}
+	return metricFetchRetry, false
+}
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -42,7 +42,7 @@
 	return out
 }
 
-func allHave(t *testing.T, nodes []*node, number uint64) {
+func allHave(t testing.TB, nodes []*node, number uint64) {
 	t.Helper()
 	for _, n := range nodes {
 		eventually(t, n.self.Name+" has the bundle", func() bool { return n.holder.Number() == number })
@@ -271,3 +271,22 @@
 		})
 	})
 }
+
+func TestForgedNumberDoesNotDeafen(t *testing.T) {
+	Convey("Given an instance to which an unapproved bundle of a huge number was announced", t, func() {
+		f := newFleet(t, clockwork.NewRealClock())
+		defer f.stopAll()
+		a, b := f.add("d1", "a1"), f.add("d2", "b1")
+		mustRoll(t, f.objects, testBundle(1, 2, 1))
+		allHave(t, f.list(), 1)
+		f.setCut(func(x, y string) bool { return x == "a1" && y == "platform" })
+		forged, _ := Split(testBundle(1<<60, 2, 1))
+		now := a.holder.force.Load()
+		forged.ApproversHash = now.trust.hash[:]
+		So(errors.Is(a.holder.offer(context.Background(), Sign(forged, carla.id, carla.key), a.holder.storeSource(), true), ErrNotApproved), ShouldBeTrue)
+		Convey("it still takes the next bundle from a peer", func() {
+			mustRoll(t, f.objects, testBundle(2, 2, 1))
+			allHave(t, []*node{a, b}, 2)
+		})
+	})
+}
