Ask for a stalled answer on another connection before giving its connection up for silent

Cause: a connection that went silent between tokens, or under a whole answer, was found out only after the whole progress timeout. Asking an engine for an answer that it already makes costs it nothing. Change: a model call with no byte for an eighth of the progress timeout, before its response or after its first token, is picked up on a new connection; whole answers are then put together from the stream. The full timeout still bounds the wait for the first token of a picked-up answer. Pick-ups never use a connection that was used before.

--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -26,7 +26,7 @@
 func (a *answer) run(ctx context.Context) Result {
 	x := a.client.exchange(ctx, request{
 		method: a.call.Method, base: a.call.URL, path: a.call.Path, header: a.call.Header, body: a.call.Body,
-		fresh: a.call.Fresh, resumable: a.call.Model && a.call.Stream,
+		fresh: a.call.Fresh, resumable: a.call.Model,
 	})
 	defer x.close()
 	if x.err != nil {
@@ -51,7 +51,7 @@
 		return Result{Status: NotSent, Reason: reason}
 	}
 	res := a.broken(ctx, reason)
-	if reason == ReasonSilent && res.Status != Complete {
+	if reason == ReasonSilent && res.Status == Broken {
 		// The endpoint does not know the request: it was the connection that swallowed it.
 		x.discard()
 	}
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -18,8 +18,8 @@
 const (
 	defaultProgressTimeout = 10 * time.Second
 	defaultAnswerLimit     = 8 << 20
-	// firstByteShare is the share of ProgressTimeout that FirstByteTimeout has.
-	firstByteShare = 8
+	// stallShare is the share of ProgressTimeout that StallTimeout has.
+	stallShare = 8
 )
 
 // Bounds of calls.
@@ -46,9 +46,9 @@
 	Repairs *telemetry.Repairs
 	// ProgressTimeout is the longest time without any byte before a connection is taken for silent.
 	ProgressTimeout time.Duration
-	// FirstByteTimeout replaces ProgressTimeout until the response to a streamed call begins on a connection that was
-	// used before: such a stream can be picked up elsewhere at no cost, so silence is found out sooner.
-	FirstByteTimeout time.Duration
+	// StallTimeout is the longest time without a byte, before the response of a model call and after its first token,
+	// until the answer is asked for on another connection. That costs the engine nothing, so it is shorter.
+	StallTimeout time.Duration
 	// AnswerLimit is the largest whole answer, in bytes.
 	AnswerLimit int64
 }
@@ -79,8 +79,8 @@
 	if cfg.ProgressTimeout <= 0 {
 		cfg.ProgressTimeout = defaultProgressTimeout
 	}
-	if cfg.FirstByteTimeout <= 0 {
-		cfg.FirstByteTimeout = cfg.ProgressTimeout / firstByteShare
+	if cfg.StallTimeout <= 0 {
+		cfg.StallTimeout = cfg.ProgressTimeout / stallShare
 	}
 	if cfg.AnswerLimit <= 0 {
 		cfg.AnswerLimit = defaultAnswerLimit
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -52,7 +52,11 @@
 		x.transport = l.fresh
 	}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
-	x.watch = newWatch(c.cfg.Clock, c.cfg.ProgressTimeout, func() { x.cancel(errSilent) })
+	limit := c.cfg.ProgressTimeout
+	if x.quick {
+		limit = min(limit, c.cfg.StallTimeout)
+	}
+	x.watch = newWatch(c.cfg.Clock, limit, func() { x.cancel(errSilent) })
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(x.ctx, x.trace()), r.method, r.base+r.path, nil)
 	if err != nil {
 		x.err = err
@@ -96,9 +100,6 @@
 			x.before = c.writes.Load()
 			x.conn.Store(c)
 		}
-		if info.Reused && x.quick {
-			x.watch.setLimit(x.client.cfg.FirstByteTimeout)
-		}
 	}}
 }
 
@@ -108,6 +109,13 @@
 	return c != nil && c.writes.Load() != x.before
 }
 
+// flowing notes that tokens have begun to come: a stall shows from now on that the connection is silent.
+func (x *exchange) flowing() {
+	if x.watch.limit.Load() != int64(x.client.cfg.StallTimeout) {
+		x.watch.setLimit(x.client.cfg.StallTimeout)
+	}
+}
+
 // failure says why the exchange failed, from an error of sending or reading.
 func (x *exchange) failure(err error) Reason {
 	cause := context.Cause(x.ctx)
--- a/endpoint/metrics.go
+++ b/endpoint/metrics.go
@@ -23,7 +23,7 @@
 var (
 	brokenDescs = map[Reason]telemetry.Desc{
 		ReasonReset:     telemetry.Describe("endpoint.broken.connection_reset", "answers", "Answers that broke off with their connection, before being picked up again or given up."),
-		ReasonSilent:    telemetry.Describe("endpoint.broken.no_progress", "answers", "Answers whose connection went silent."),
+		ReasonSilent:    telemetry.Describe("endpoint.broken.no_progress", "answers", "Answers that made no progress for a time and were asked for on another connection."),
 		ReasonWrongID:   telemetry.Describe("endpoint.broken.answer_of_other_request", "answers", "Answers that carried the id of another request."),
 		ReasonTruncated: telemetry.Describe("endpoint.broken.answer_truncated", "answers", "Answers that ended early or with a gap."),
 		ReasonMalformed: telemetry.Describe("endpoint.broken.answer_malformed", "answers", "Answers that are not the protocol."),
@@ -31,7 +31,7 @@
 		ReasonDial:      telemetry.Describe("endpoint.broken.dial_failed", "answers", "Failed dials while a stream was picked up."),
 		ReasonBusy:      telemetry.Describe("endpoint.broken.endpoint_busy", "answers", "Refusals while a stream was picked up."),
 	}
-	resumedDesc   = telemetry.Describe("endpoint.resumed", "streams", "Streams that were picked up again at the engine.")
+	resumedDesc   = telemetry.Describe("endpoint.resumed", "streams", "Answers that were picked up at the engine on another connection.")
 	discardedDesc = telemetry.Describe("endpoint.transports_discarded", "transports", "Sets of connections to an endpoint that were discarded because one went silent.")
 	duplicateDesc = telemetry.Describe("endpoint.duplicates_dropped", "events", "Events of answers that were dropped because their offset had been seen.")
 	cancelDesc    = telemetry.Describe("endpoint.cancels", "calls", "Requests that an engine was told to stop.")
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -91,7 +91,7 @@
 // resume asks the engine for the rest of the stream. Gone means that the engine does not know the request.
 func (s *stream) resume(ctx context.Context) (reason Reason, done, gone bool) {
 	c, call := s.answer.client, s.answer.call
-	x := c.exchange(ctx, request{method: http.MethodGet, base: call.URL, path: resumePath(call.RequestID, s.next)})
+	x := c.exchange(ctx, request{method: http.MethodGet, base: call.URL, path: resumePath(call.RequestID, s.next), fresh: true})
 	defer x.close()
 	if x.err != nil {
 		return x.failure(x.err), false, false
@@ -104,7 +104,9 @@
 	}
 	s.resumes++
 	c.count.resumed.Inc(1)
-	c.repaired(fmt.Sprintf("stream %s picked up at %s from token %d", call.RequestID, call.Endpoint, s.next))
+	if s.next > 0 {
+		c.repaired(fmt.Sprintf("stream %s picked up at %s from token %d", call.RequestID, call.Endpoint, s.next))
+	}
 	reason, done = s.read(x)
 	return reason, done, false
 }
@@ -125,7 +127,7 @@
 		if event.Data == endMarker {
 			return s.marker()
 		}
-		if reason := s.event(event); reason != ReasonNone {
+		if reason := s.event(x, event); reason != ReasonNone {
 			return reason, false
 		}
 	}
@@ -141,7 +143,7 @@
 }
 
 // event checks one event and relays it unless it was seen before.
-func (s *stream) event(e sse.Event) Reason {
+func (s *stream) event(x *exchange, e sse.Event) Reason {
 	var c chunk
 	offset, err := strconv.ParseUint(e.LastEventID, 10, 64)
 	if err != nil || json.Unmarshal([]byte(e.Data), &c) != nil {
@@ -161,6 +163,9 @@
 	if offset < s.next {
 		return ReasonMalformed
 	}
+	if n > 0 {
+		x.flowing()
+	}
 	return s.relay(&c, n, e.Data)
 }
 
