Test that pick-ups use new connections; measure the memory of open streams

Cause: nothing failed when a picked-up answer could meet another connection that had gone silent; the memory that a stream takes in the router was not known. Change: a test with several used connections that go silent; a benchmark of streams that wait for their first token. Measured: without a new connection for pick-ups the test does not end. go test -run xxx -bench OpenStreams -benchtime 400x ./server: 62 KiB a stream called directly, 103 KiB routed, caller and engine included in both.

--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -213,14 +214,12 @@
 func TestConnections(t *testing.T) {
 	Convey("Given an engine behind connections that can go silent", t, func() {
 		var mute, deaf, refuse atomic.Bool
-		var dials atomic.Int32
 		r := newRig(100*time.Millisecond, func(ctx context.Context, network, address string) (net.Conn, error) {
 			if refuse.Load() {
 				return nil, errors.New("refused")
 			}
-			dials.Add(1)
 			conn, err := new(net.Dialer).DialContext(ctx, network, address)
-			if dials.Load() > 1 {
+			if mute.Load() || deaf.Load() {
 				return conn, err
 			}
 			return &muteConn{Conn: conn, mute: &mute, deaf: &deaf}, err
@@ -243,6 +242,16 @@
 			So(r.do("b", true).Reason, ShouldEqual, ReasonSilent)
 			So(r.client.count.discarded.Count(), ShouldEqual, 1)
 		})
+		Convey("a pick-up uses no connection that was used before", func() {
+			r.client.cfg.ProgressTimeout, r.client.cfg.StallTimeout = time.Hour, 50*time.Millisecond
+			var wg sync.WaitGroup
+			for i := range 3 {
+				wg.Go(func() { r.client.Do(context.Background(), r.call(fmt.Sprint("a", i), false), nil) })
+			}
+			wg.Wait()
+			mute.Store(true)
+			So(r.do("b", true).Reason, ShouldEqual, ReasonSilent)
+		})
 		Convey("an engine that only takes long to begin keeps its connections, and runs the request once", func() {
 			r.client.cfg.ProgressTimeout, r.client.cfg.StallTimeout = time.Hour, 50*time.Millisecond
 			r.engine.SetFaults(standin.EngineFaults{Delay: 200 * time.Millisecond})
--- a/server/cost_test.go
+++ b/server/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -96,3 +97,54 @@
 	b.ReportMetric(float64(first[len(first)/2].Microseconds())/1000, "first-p50-ms")
 	b.ReportMetric(float64(first[len(first)*95/100].Microseconds())/1000, "first-p95-ms")
 }
+
+// BenchmarkOpenStreams compares the memory of streams that wait for their first token: of direct calls, and of calls
+// through one instance, callers and engines included in both.
+func BenchmarkOpenStreams(b *testing.B) {
+	config := fleet.Deployment(fleet.PrecioJusto)
+	config.Domains, config.InstancesPerDomain, config.EnginesPerDomain = config.Domains[:1], 1, 1
+	config.Engine = standin.EngineConfig{Step: time.Millisecond, Slots: 1 << 12}
+	config.Customers = []fleet.Customer{{ID: "coop", Tokens: 1 << 40}}
+	config.Adjust = func(s *api.Settings) {
+		s.Server.ProgressTimeout = durationpb.New(time.Hour)
+		s.Route.InitialConcurrency = 1 << 12
+	}
+	f, err := fleet.Start(context.Background(), config)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	f.Engines[0].SetFaults(standin.EngineFaults{Silence: true})
+	engine := strings.TrimPrefix(f.Engines[0].URL, "http://")
+	router := f.Members()[0].Node.CallerAddress()
+	for _, c := range []struct{ name, address string }{{"direct", engine}, {"routed", router}} {
+		b.Run(c.name, func(b *testing.B) { holdStreams(b, f, c.address) })
+	}
+}
+
+func holdStreams(b *testing.B, f *fleet.Fleet, address string) {
+	caller := f.NewCaller()
+	ctx, cancel := context.WithCancel(context.Background())
+	before, ran := memory(), len(f.Engines[0].Runs())
+	var wg sync.WaitGroup
+	for i := range b.N {
+		wg.Go(func() {
+			ask := fleet.Ask{Customer: "coop", Model: fleet.PriceModel, Prompt: fmt.Sprint("coat ", i), Cap: costTokens, Stream: true}
+			caller.Send(ctx, address, ask)
+		})
+	}
+	for len(f.Engines[0].Runs())-ran < b.N {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(memory()-before)/float64(b.N)/1024, "KiB/stream")
+	cancel()
+	wg.Wait()
+}
+
+// memory returns the bytes in use on heap and stacks.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
