--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -12,8 +13,12 @@
 	"pumiceshelf/platform"
 )
 
-// parallel bounds the calls to the platform that one fetch or roll has open at once.
-const parallel = 8
+const (
+	// parallel bounds the calls to the platform that one fetch or roll has open at once.
+	parallel = 8
+	// packTimeout bounds the read of one pack, the wait for the instance's own limit of calls included.
+	packTimeout = 3 * time.Second
+)
 
 // want is a part to fetch. Pack names the platform object that holds it.
 type want struct {
@@ -65,6 +70,8 @@
 }
 
 func readPack(ctx context.Context, store platform.Store, h Hash) (*api.PartPack, error) {
+	ctx, cancel := context.WithTimeout(ctx, packTimeout)
+	defer cancel()
 	obj, err := store.Get(ctx, partKey(h))
 	if err != nil {
 		return nil, fmt.Errorf("bundle: read part %s: %w", h, err)
--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -41,7 +40,6 @@
 type Holder struct {
 	cfg       Config
 	force     atomic.Pointer[inForce]
-	applying  sync.Mutex
 	announced chan announcement
 	tell      chan struct{}
 	failure   atomic.Pointer[failure]
@@ -137,23 +135,27 @@
 	return group.Wait()
 }
 
-// offer puts a signed manifest in force if it is newer than the one in force, approved and without problems.
+// offer puts a signed manifest in force if it is newer than the one in force, approved and without problems. Offers run
+// side by side, so that one that waits for a silent source holds up no other.
 func (h *Holder) offer(ctx context.Context, signed *api.SignedManifest, from source, fromPeer bool) error {
-	h.applying.Lock()
-	defer h.applying.Unlock()
-	now := h.force.Load()
-	newer, err := h.newer(now, signed)
-	if !newer || err != nil {
-		return err
-	}
-	next, err := prepare(ctx, now, signed, from)
-	if err != nil {
-		h.keepOut(signed, err)
-		return err
+	for {
+		now := h.force.Load()
+		newer, err := h.newer(now, signed)
+		if !newer || err != nil {
+			return err
+		}
+		next, err := prepare(ctx, now, signed, from)
+		switch {
+		case err == nil:
+			next.fromPeer = fromPeer
+			if h.putInForce(now, next) {
+				return nil
+			}
+		case h.force.Load() == now:
+			h.keepOut(signed, err)
+			return err
+		}
 	}
-	next.fromPeer = fromPeer
-	h.putInForce(now, next)
-	return nil
 }
 
 // newer says whether the manifest is worth preparing.
@@ -202,18 +204,22 @@
 	return &inForce{compiled: next, signed: signed, trust: approvers, chain: chain, replaced: make(chan struct{})}, nil
 }
 
-func (h *Holder) putInForce(now, next *inForce) {
+// putInForce replaces the bundle in force by the next one, unless another has replaced it already.
+func (h *Holder) putInForce(now, next *inForce) bool {
 	invariant.Check(next.number() > now.number(), "bundle", "bundle %d would follow bundle %d", next.number(), now.number())
-	h.force.Store(next)
+	if !h.force.CompareAndSwap(now, next) {
+		return false
+	}
 	h.failure.Store(nil)
 	close(now.replaced)
 	metricInForce.Counter(h.cfg.Metrics).Inc(1)
-	metricNumber.Gauge(h.cfg.Metrics).Update(int64(next.number()))
+	metricNumber.Gauge(h.cfg.Metrics).Update(int64(h.Number()))
 	h.cfg.Log.Infof("bundle: bundle %d in force", next.number())
 	select {
 	case h.tell <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // keepOut reports why a manifest is not in force. What cannot change is remembered, so that it is not tried again.
--- a/bundle/spread.go
+++ b/bundle/spread.go
@@ -36,6 +36,9 @@
 }
 
 func (h *Holder) take(ctx context.Context, a announcement) {
+	if h.Current() == nil && !h.ownDomain(a.from) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	from, err := h.peerSource(ctx, a.from)
@@ -47,6 +50,17 @@
 	}
 }
 
+// ownDomain says whether an incarnation is a known instance of the own domain. The first bundle of an instance is taken
+// unconfirmed from those alone.
+func (h *Holder) ownDomain(i instance.Incarnation) bool {
+	for _, m := range h.cfg.View.Members() {
+		if m.Instance.Incarnation == string(i) {
+			return h.sameDomain(m.Instance)
+		}
+	}
+	return false
+}
+
 // spread tells the peers of the domain of each bundle put in force. The domain's instances form a tree by rank: each
 // tells a few below it, and one that got the bundle from outside the domain also tells the root.
 func (h *Holder) spread(ctx context.Context) {
