Keep waiting requests in one kind of heap

Cause: three heaps with the same code beside each other. Change: indexHeap, generic over its elements; the simulation needs none.

--- a/admit/fair.go
+++ b/admit/fair.go
@@ -1,9 +1,6 @@
 package admit
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // customerQueue holds one customer's requests of one group and class.
 type customerQueue struct {
@@ -14,16 +11,17 @@
 	// sequence orders customers with equal start by when they began to wait.
 	sequence uint64
 	index    int
-	waiting  byDeadline
+	waiting  indexHeap[*waiter]
 }
 
 // excess is the number of requests that wait, over the customer's weight.
-func (c *customerQueue) excess(more int) float64 { return float64(len(c.waiting)+more) / c.weight }
+func (c *customerQueue) excess(more int) float64 { return float64(c.waiting.Len()+more) / c.weight }
 
 // classQueue holds the requests of one class. Customers share it by start-time fair queueing over costs; each
 // customer's own requests go earliest deadline first.
 type classQueue struct {
-	active  byStart
+	// active are the customers with waiting requests, first to be served first.
+	active  indexHeap[*customerQueue]
 	byName  map[string]*customerQueue
 	virtual float64
 	waiting int
@@ -31,33 +29,19 @@
 	weights float64
 }
 
-// byStart is a heap of customers with waiting requests.
-type byStart []*customerQueue
-
-func (h byStart) Len() int { return len(h) }
-func (h byStart) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
+func newClassQueue() classQueue {
+	return classQueue{
+		byName: make(map[string]*customerQueue),
+		active: indexHeap[*customerQueue]{
+			before: func(a, b *customerQueue) bool {
+				if a.start != b.start {
+					return a.start < b.start
+				}
+				return a.sequence < b.sequence
+			},
+			place: func(c *customerQueue) *int { return &c.index },
+		},
 	}
-	return h[i].sequence < h[j].sequence
-}
-func (h byStart) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-func (h *byStart) Push(x any) {
-	c := x.(*customerQueue)
-	c.index = len(*h)
-	*h = append(*h, c)
-}
-func (h *byStart) Pop() any {
-	old := *h
-	c := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	c.index = -1
-	return c
 }
 
 // customer returns the queue of a customer, nil if none of its requests waited lately.
@@ -66,28 +50,28 @@
 func (q *classQueue) push(w *waiter) {
 	c := q.byName[w.item.Customer]
 	if c == nil {
-		c = &customerQueue{name: w.item.Customer, index: -1}
+		c = &customerQueue{name: w.item.Customer, index: -1, waiting: newDeadlineHeap()}
 		q.byName[c.name] = c
 	}
-	if len(c.waiting) == 0 {
+	if c.waiting.Len() == 0 {
 		c.weight = float64(max(w.item.Weight, 1))
 		c.start = max(c.start, q.virtual)
 		c.sequence = w.sequence
 		q.weights += c.weight
-		heap.Push(&q.active, c)
+		q.active.add(c)
 	}
 	w.customer = c
-	heap.Push(&c.waiting, w)
+	c.waiting.add(w)
 	q.work += w.work
 	q.waiting++
 }
 
 // head returns the request that is served next.
 func (q *classQueue) head() *waiter {
-	if len(q.active) == 0 {
+	if q.active.Len() == 0 {
 		return nil
 	}
-	return q.active[0].waiting[0]
+	return q.active.first().waiting.first()
 }
 
 // charge moves the customer's virtual start past a request that is served now.
@@ -95,17 +79,17 @@
 	c := w.customer
 	q.virtual = max(q.virtual, c.start)
 	c.start += float64(max(w.item.Cost, 1)) / c.weight
-	heap.Fix(&q.active, c.index)
+	q.active.fix(c)
 }
 
 // remove takes a request out of the queue.
 func (q *classQueue) remove(w *waiter) {
 	c := w.customer
-	heap.Remove(&c.waiting, w.deadlineIndex)
+	c.waiting.remove(w)
 	q.work -= w.work
 	q.waiting--
-	if len(c.waiting) == 0 {
-		heap.Remove(&q.active, c.index)
+	if c.waiting.Len() == 0 {
+		q.active.remove(c)
 		q.weights -= c.weight
 	}
 	if q.waiting == 0 {
@@ -125,7 +109,7 @@
 // heaviest returns the customer that holds most places over its weight.
 func (q *classQueue) heaviest() *customerQueue {
 	var worst *customerQueue
-	for _, c := range q.active {
+	for _, c := range q.active.items {
 		if worst == nil || c.excess(0) > worst.excess(0) {
 			worst = c
 		}
@@ -150,7 +134,7 @@
 // workUntil returns the work of requests whose deadlines are not after the given one.
 func (c *customerQueue) workUntil(deadline time.Time) time.Duration {
 	var work time.Duration
-	for _, w := range c.waiting {
+	for _, w := range c.waiting.items {
 		if !w.item.Deadline.After(deadline) {
 			work += w.work
 		}
--- a/admit/group.go
+++ b/admit/group.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"math"
 	"time"
 
@@ -18,7 +17,7 @@
 // groupQueue holds the requests that wait for one model or service, and counts those dispatched.
 type groupQueue struct {
 	classes  [Classes]classQueue
-	expiry   byExpiry
+	expiry   indexHeap[*waiter]
 	inFlight [Classes]int
 	// passed counts dispatches of higher classes since the class, waiting, had its last turn.
 	passed [Classes]int
@@ -32,24 +31,24 @@
 }
 
 func newGroupQueue() *groupQueue {
-	g := &groupQueue{}
+	g := &groupQueue{expiry: newExpiryHeap()}
 	for i := range g.classes {
-		g.classes[i].byName = make(map[string]*customerQueue)
+		g.classes[i] = newClassQueue()
 	}
 	return g
 }
 
-func (g *groupQueue) waiting() int { return len(g.expiry) }
+func (g *groupQueue) waiting() int { return g.expiry.Len() }
 
 func (g *groupQueue) insert(w *waiter) {
 	g.classes[w.item.Class].push(w)
-	heap.Push(&g.expiry, w)
+	g.expiry.add(w)
 	g.bytes += w.item.Bytes
 }
 
 func (g *groupQueue) remove(w *waiter) {
 	g.classes[w.item.Class].remove(w)
-	heap.Remove(&g.expiry, w.expiryIndex)
+	g.expiry.remove(w)
 	g.bytes -= w.item.Bytes
 	invariant.Check(g.bytes >= 0, "admit", "waiting requests hold %d bytes", g.bytes)
 }
@@ -66,13 +65,13 @@
 		return
 	}
 	g.learnt = false
-	for _, w := range g.expiry {
+	for _, w := range g.expiry.items {
 		q := &g.classes[w.item.Class]
 		q.work -= w.work
 		g.estimate(w)
 		q.work += w.work
 	}
-	heap.Init(&g.expiry)
+	g.expiry.rebuild()
 }
 
 // head returns the request to dispatch next, given how many the group may run at once; nil if none may go.
@@ -187,14 +186,14 @@
 	if worst.excess(0) <= own {
 		return nil
 	}
-	return worst.waiting.last()
+	return last(worst.waiting.items)
 }
 
 // lowerVictim returns a waiting request of a lower class than the given one, the lowest first.
 func (g *groupQueue) lowerVictim(class Class) *waiter {
 	for c := Classes - 1; c > class; c-- {
 		if worst := g.classes[c].heaviest(); worst != nil {
-			return worst.waiting.last()
+			return last(worst.waiting.items)
 		}
 	}
 	return nil
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -155,7 +155,7 @@
 // requeue queues a group's requests again, in order of arrival, when the first service time of a size is known, as after
 // a burst on a quiet queue. It returns those that are not expected to meet their deadlines.
 func (q *queues) requeue(now time.Time, g *groupQueue, places int) []*waiter {
-	list := slices.Clone(g.expiry)
+	list := slices.Clone(g.expiry.items)
 	slices.SortFunc(list, func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })
 	for _, w := range list {
 		q.remove(w)
@@ -191,8 +191,8 @@
 func (q *queues) expire(now time.Time) []*waiter {
 	var out []*waiter
 	for _, g := range q.groups {
-		for len(g.expiry) > 0 && !g.expiry[0].latestStart.After(now) {
-			w := g.expiry[0]
+		for g.waiting() > 0 && !g.expiry.first().latestStart.After(now) {
+			w := g.expiry.first()
 			q.remove(w)
 			out = append(out, w)
 		}
@@ -204,8 +204,8 @@
 func (q *queues) nextExpiry() time.Time {
 	var next time.Time
 	for _, g := range q.groups {
-		if len(g.expiry) > 0 && (next.IsZero() || g.expiry[0].latestStart.Before(next)) {
-			next = g.expiry[0].latestStart
+		if g.waiting() > 0 && (next.IsZero() || g.expiry.first().latestStart.Before(next)) {
+			next = g.expiry.first().latestStart
 		}
 	}
 	return next
--- a/admit/shell.go
+++ b/admit/shell.go
@@ -305,7 +305,7 @@
 	c.closed = true
 	for _, g := range c.queues.groups {
 		for g.waiting() > 0 {
-			w := g.expiry[0]
+			w := g.expiry.first()
 			c.queues.remove(w)
 			w.answer <- c.refuse(w, NoCapacity)
 		}
--- a/admit/simulate_test.go
+++ b/admit/simulate_test.go
@@ -1,10 +1,11 @@
 package admit
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -95,24 +96,10 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-// running is a heap of requests in service, first to end first.
-type running []*served
-
-func (h running) Len() int           { return len(h) }
-func (h running) Less(i, j int) bool { return h[i].end < h[j].end }
-func (h running) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *running) Push(x any)        { *h = append(*h, x.(*served)) }
-func (h *running) Pop() any {
-	old := *h
-	s := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return s
-}
-
 // simulate runs a load through a discipline before a number of places, in virtual time.
 func simulate(d discipline, load []arrival, places int) []served {
 	var out []served
-	var busy running
+	var busy []*served // first to end first
 	loads := make(map[*waiter]arrival)
 	waiters := make(map[*served]*waiter)
 	dispatch := func(now time.Duration) {
@@ -124,12 +111,14 @@
 			a := loads[w]
 			s := &served{arrival: a, start: now, end: now + a.service}
 			waiters[s] = w
-			heap.Push(&busy, s)
+			i, _ := slices.BinarySearchFunc(busy, s, func(a, b *served) int { return cmp.Compare(a.end, b.end) })
+			busy = slices.Insert(busy, i, s)
 		}
 	}
 	for len(load) > 0 || len(busy) > 0 {
 		if len(busy) > 0 && (len(load) == 0 || busy[0].end <= load[0].at) {
-			s := heap.Pop(&busy).(*served)
+			s := busy[0]
+			busy = busy[1:]
 			d.finish(epoch.Add(s.end), waiters[s], s.service)
 			out = append(out, *s)
 			dispatch(s.end)
--- a/admit/waiter.go
+++ b/admit/waiter.go
@@ -1,9 +1,6 @@
 package admit
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // waiter is one request in a queue.
 type waiter struct {
@@ -26,83 +23,42 @@
 
 func (w *waiter) queued() bool { return w.expiryIndex >= 0 }
 
-// byDeadline is a heap of one customer's requests, earliest deadline first.
-type byDeadline []*waiter
-
-func (h byDeadline) Len() int { return len(h) }
-func (h byDeadline) Less(i, j int) bool {
-	if !h[i].item.Deadline.Equal(h[j].item.Deadline) {
-		return h[i].item.Deadline.Before(h[j].item.Deadline)
+// later says whether a is served after b within one customer's queue.
+func later(a, b *waiter) bool {
+	if !a.item.Deadline.Equal(b.item.Deadline) {
+		return a.item.Deadline.After(b.item.Deadline)
 	}
-	return h[i].sequence < h[j].sequence
-}
-func (h byDeadline) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].deadlineIndex = i
-	h[j].deadlineIndex = j
+	return a.sequence > b.sequence
 }
-func (h *byDeadline) Push(x any) {
-	w := x.(*waiter)
-	w.deadlineIndex = len(*h)
-	*h = append(*h, w)
+
+// newDeadlineHeap returns a heap for one customer's requests, earliest deadline first.
+func newDeadlineHeap() indexHeap[*waiter] {
+	return indexHeap[*waiter]{
+		before: func(a, b *waiter) bool { return later(b, a) },
+		place:  func(w *waiter) *int { return &w.deadlineIndex },
+	}
 }
-func (h *byDeadline) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.deadlineIndex = -1
-	return w
+
+// newExpiryHeap returns a heap for a group's requests, first to become hopeless first.
+func newExpiryHeap() indexHeap[*waiter] {
+	return indexHeap[*waiter]{
+		before: func(a, b *waiter) bool {
+			if !a.latestStart.Equal(b.latestStart) {
+				return a.latestStart.Before(b.latestStart)
+			}
+			return a.sequence < b.sequence
+		},
+		place: func(w *waiter) *int { return &w.expiryIndex },
+	}
 }
 
 // last returns the request with the latest deadline, the newest of equals.
-func (h byDeadline) last() *waiter {
+func last(list []*waiter) *waiter {
 	var worst *waiter
-	for _, w := range h {
+	for _, w := range list {
 		if worst == nil || later(w, worst) {
 			worst = w
 		}
 	}
 	return worst
 }
-
-func later(a, b *waiter) bool {
-	if !a.item.Deadline.Equal(b.item.Deadline) {
-		return a.item.Deadline.After(b.item.Deadline)
-	}
-	return a.sequence > b.sequence
-}
-
-// byExpiry is a heap of a group's requests, first to become hopeless first.
-type byExpiry []*waiter
-
-func (h byExpiry) Len() int { return len(h) }
-func (h byExpiry) Less(i, j int) bool {
-	if !h[i].latestStart.Equal(h[j].latestStart) {
-		return h[i].latestStart.Before(h[j].latestStart)
-	}
-	return h[i].sequence < h[j].sequence
-}
-func (h byExpiry) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].expiryIndex = i
-	h[j].expiryIndex = j
-}
-func (h *byExpiry) Push(x any) {
-	w := x.(*waiter)
-	w.expiryIndex = len(*h)
-	*h = append(*h, w)
-}
-func (h *byExpiry) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.expiryIndex = -1
-	return w
-}
-
-var (
-	_ heap.Interface = (*byDeadline)(nil)
-	_ heap.Interface = (*byExpiry)(nil)
-)
