Choose an ejected endpoint when all others leave; tell of every new bundle

Cause: a bundle that takes healthy endpoints away, or endpoints that leave, can leave a group with ejected ones alone: requests were refused as if none were there. A bundle that came in force between two waits gave no word of new room, so that a test of Run hung when it met it. Change: ejected endpoints are the last resort; the caught-up rebuild tells too. Measured: random steps of choice, results, reports, bundles and time find the refusal without the change, and no other fault; Run leaves no goroutine.

--- a/route/choose.go
+++ b/route/choose.go
@@ -55,6 +55,8 @@
 	policy policy
 	// ownWorks says that an endpoint of the own domain works but has no room.
 	ownWorks bool
+	// lastResort lets ejected endpoints be chosen.
+	lastResort bool
 }
 
 // next returns the next random number.
@@ -64,7 +66,7 @@
 }
 
 // choose takes a place at an endpoint of the group: of the own domain if one has room, else elsewhere. Endpoints that
-// the request should avoid come only when no other works.
+// the request should avoid come only when no other works, and ejected ones only when all others leave.
 func (c *chooser) choose(g *group) choice {
 	anyWorks := false
 	for range attempts {
@@ -91,11 +93,15 @@
 	if anyWorks {
 		return choice{availability: admit.Busy}
 	}
-	if len(c.target.Avoid) > 0 || c.target.Once {
+	switch {
+	case len(c.target.Avoid) > 0 || c.target.Once:
 		c.target.Avoid, c.target.Once = nil, false
-		return c.choose(g)
+	case !c.lastResort:
+		c.lastResort = true
+	default:
+		return choice{availability: admit.Gone}
 	}
-	return choice{availability: admit.Gone}
+	return c.choose(g)
 }
 
 // chooseSide returns an endpoint with room, or nil, and whether any endpoint of the side works.
@@ -218,7 +224,7 @@
 
 // eligible says whether the endpoint may be given this request.
 func (c *chooser) eligible(s *state) bool {
-	if !s.usable(c.now) {
+	if !s.usable(c.now) && !(c.lastResort && !s.leaving.Load()) {
 		return false
 	}
 	if c.target.Once && s.health.recovering() {
--- a/route/follow.go
+++ b/route/follow.go
@@ -48,6 +48,7 @@
 	snap := b.config.Bundles.Current()
 	if snap != nil && snap.Number != b.table.Load().number {
 		b.rebuild()
+		b.room("")
 	}
 }
 
