Tell callers that an engine refused their request as wrong; keep strangers out of the stories

Cause: a request that an engine refused as wrong, such as a prompt too long for the model, ended as unknown, was tried elsewhere and billed at its bound. Requests without a customer pushed others out of the book of stories. Change: 400, 413 and 422 of an engine under the request's own id mean that it did not run and is not tried elsewhere, 404 that another engine may have the model. Stories are kept of customers' requests only. Unknown outcomes are logged. Measured: without the new case the test of rejections fails.

--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -36,7 +36,7 @@
 		return Result{Status: Refused, Reason: ReasonBusy, HTTPStatus: x.res.StatusCode}
 	}
 	if a.call.Model && x.res.StatusCode != http.StatusOK {
-		return Result{Status: Broken, Reason: ReasonServer, HTTPStatus: x.res.StatusCode}
+		return a.failed(x)
 	}
 	if a.call.Stream {
 		return newStream(a, a.sink).run(ctx, x)
@@ -44,6 +44,23 @@
 	return a.whole(ctx, x)
 }
 
+// failed judges an error status of an engine. One that says that the request is wrong, under the request's own id, says
+// that it did not run.
+func (a *answer) failed(x *exchange) Result {
+	res := Result{Status: Broken, Reason: ReasonServer, HTTPStatus: x.res.StatusCode}
+	if x.res.Header.Get(headerRequestID) != a.call.RequestID {
+		return res
+	}
+	switch x.res.StatusCode {
+	case http.StatusNotFound:
+		res.Status, res.Reason = Refused, ReasonBusy
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		res.Status, res.Reason = Refused, ReasonRejected
+		res.Body, _ = io.ReadAll(io.LimitReader(x.body(), rejectionLimit))
+	}
+	return res
+}
+
 // unanswered judges a call whose response never began.
 func (a *answer) unanswered(ctx context.Context, x *exchange) Result {
 	reason := x.failure(x.err)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -32,6 +32,8 @@
 	resumeDelay = 25 * time.Millisecond
 	// eventLimit is the largest event of a stream, in bytes.
 	eventLimit = 1 << 20
+	// rejectionLimit is how much of an engine's words on a wrong request is kept, in bytes.
+	rejectionLimit = 512
 	// reportLimit is the largest report or state of an endpoint, in bytes.
 	reportLimit = 1 << 20
 )
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -33,6 +33,7 @@
 	ReasonDial       Reason = "dial_failed"
 	ReasonBusy       Reason = "endpoint_busy"
 	ReasonServer     Reason = "endpoint_error"
+	ReasonRejected   Reason = "endpoint_rejected"
 	ReasonReset      Reason = "connection_reset"
 	ReasonSilent     Reason = "no_progress"
 	ReasonWrongID    Reason = "answer_of_other_request"
@@ -75,7 +76,7 @@
 	Status Status
 	Reason Reason
 	Usage  Usage
-	// HTTPStatus, Header and Body of the endpoint's answer, for a whole one.
+	// HTTPStatus, Header and Body of the endpoint's answer, for a whole one; status and body for one that was rejected.
 	HTTPStatus int
 	Header     http.Header
 	Body       []byte
--- a/endpoint/metrics.go
+++ b/endpoint/metrics.go
@@ -9,6 +9,7 @@
 var reasonDescs = map[Reason]telemetry.Desc{
 	ReasonDial:       telemetry.Describe("endpoint.failed.dial_failed", "calls", "Calls to endpoints that could not be connected; nothing was sent."),
 	ReasonBusy:       telemetry.Describe("endpoint.failed.endpoint_busy", "calls", "Calls that an endpoint refused without running them."),
+	ReasonRejected:   telemetry.Describe("endpoint.failed.endpoint_rejected", "calls", "Model calls that an engine refused as wrong, without running them."),
 	ReasonServer:     telemetry.Describe("endpoint.failed.endpoint_error", "calls", "Calls answered with an error status and no word on whether they ran."),
 	ReasonReset:      telemetry.Describe("endpoint.failed.connection_reset", "calls", "Calls whose connection ended before any answer."),
 	ReasonSilent:     telemetry.Describe("endpoint.failed.no_progress", "calls", "Calls given up for missing progress."),
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -47,6 +47,8 @@
 	Pick func(requestID string) bool
 	// Busy refuses new requests without running them.
 	Busy bool
+	// Reject answers new requests as wrong and does not run them.
+	Reject bool
 	// Error answers new requests with status 500 and does not run them, without saying so.
 	Error bool
 	// Silence accepts new requests, runs them and never answers.
--- a/server/chat.go
+++ b/server/chat.go
@@ -138,7 +138,7 @@
 
 // clip bounds what a refusal repeats of a request.
 func clip(s string) string {
-	const limit = 64
+	const limit = 256
 	if len(s) <= limit {
 		return s
 	}
--- a/server/job.go
+++ b/server/job.go
@@ -209,14 +209,10 @@
 // remaining is the time until the deadline.
 func (j *job) remaining() time.Duration { return max(j.deadline.Sub(j.server.cfg.Clock.Now()), 0) }
 
-// tell adds an event to the request's story.
+// tell adds an event to the request's story. Requests of nobody have none, so that they push no others out.
 func (j *job) tell(text string) {
-	if j.server.cfg.Stories != nil {
-		customer := ""
-		if j.customer != nil {
-			customer = j.customer.ID
-		}
-		j.server.cfg.Stories.Add(j.id, customer, "server", text)
+	if j.server.cfg.Stories != nil && j.customer != nil {
+		j.server.cfg.Stories.Add(j.id, j.customer.ID, "server", text)
 	}
 }
 
@@ -226,6 +222,7 @@
 	j.server.meters.refused[f.reason].Inc(1)
 	if f.unknown {
 		j.server.meters.unknown.Inc(1)
+		j.server.cfg.Log.Infof("server: %s unknown, %s", j.id, f.reason)
 	}
 	j.tell("refused: " + string(f.reason) + " " + f.detail)
 	j.server.cfg.Log.Debugf("server: %s refused, %s", j.id, f.reason)
--- a/server/key.go
+++ b/server/key.go
@@ -55,6 +55,14 @@
 	return refuse(ReasonEarlierUnknown, "a request with this key may have run; it is not run again").mayHaveRun()
 }
 
+// joinedUnknown answers a request that joined one that may have run and has no answer.
+func (j *job) joinedUnknown() *refusal {
+	if j.idempotent {
+		return refuse(ReasonAnswerLost, "the request that this one joined got no whole answer").mayHaveRun()
+	}
+	return earlierUnknown()
+}
+
 func (j *job) answerRecorded(v idempotency.Verdict) {
 	switch v.Outcome.Kind {
 	case idempotency.Answered:
@@ -62,7 +70,7 @@
 		j.refuse(refuse(ReasonClaimUnavailable, "the request that this one joined did not run").after(v.RetryAfter))
 		return
 	default:
-		j.refuse(earlierUnknown())
+		j.refuse(j.joinedUnknown())
 		return
 	}
 	if v.Outcome.Dropped {
--- a/server/reasons.go
+++ b/server/reasons.go
@@ -40,6 +40,7 @@
 	ReasonNoCapacity   Reason = "no_capacity"
 	ReasonCallerGone   Reason = "caller_gone"
 	ReasonEndpoints    Reason = "endpoints_unavailable"
+	ReasonRejected     Reason = "endpoint_rejected"
 	ReasonAnswerLost   Reason = "answer_lost"
 	ReasonDeadlinePast Reason = "deadline_passed"
 )
@@ -87,6 +88,7 @@
 	ReasonNoCapacity:   info(ReasonNoCapacity, http.StatusServiceUnavailable, true, "No endpoint available", "Requests for which no endpoint was available."),
 	ReasonCallerGone:   info(ReasonCallerGone, statusCallerGone, false, "Caller went away", "Requests whose caller went away before the answer."),
 	ReasonEndpoints:    info(ReasonEndpoints, http.StatusServiceUnavailable, true, "Endpoints did not take the request", "Requests that endpoints refused or could not be sent, after the retries allowed."),
+	ReasonRejected:     info(ReasonRejected, http.StatusUnprocessableEntity, false, "The engine does not take this request", "Requests that an engine refused as wrong, such as a prompt that is too long for the model."),
 	ReasonAnswerLost:   info(ReasonAnswerLost, http.StatusBadGateway, false, "The answer was lost", "Requests that may have run and whose whole answer could not be obtained."),
 	ReasonDeadlinePast: info(ReasonDeadlinePast, http.StatusGatewayTimeout, false, "Deadline passed", "Requests that were dispatched and had no whole answer by their deadline."),
 }
--- a/server/run.go
+++ b/server/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"pumiceshelf/admit"
 	"pumiceshelf/bundle"
@@ -187,6 +188,8 @@
 	switch res.Reason {
 	case endpoint.ReasonDeadline, endpoint.ReasonCallerGone:
 		return j.giveUp(canceledRefusal(res.Reason)), true
+	case endpoint.ReasonRejected:
+		return j.giveUp(refuse(ReasonRejected, clip(strings.ToValidUTF8(string(res.Body), "")))), true
 	}
 	if j.spend(res.Reason) {
 		return end{}, false
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -197,6 +197,14 @@
 			So(r.runs(), ShouldBeEmpty)
 			So(r.keeper.bills()[0].Ran, ShouldBeFalse)
 		})
+		Convey("a request that an engine rejects is not sent elsewhere, and its caller is told why", func() {
+			r.faults(standin.EngineFaults{Reject: true})
+			p := problemOf(r.chat("dose", true))
+			So([]any{p.Reason, p.Outcome}, ShouldResemble, []any{ReasonRejected, outcomeNotRun})
+			So(p.Detail, ShouldContainSubstring, "bad request")
+			So(r.retries.left, ShouldEqual, 10)
+			So(r.runs(), ShouldBeEmpty)
+		})
 		Convey("a request that may have run is not called not run when no endpoint is left", func() {
 			r.faults(lost)
 			p := problemOf(r.chat("price", false))
@@ -288,6 +296,7 @@
 			So(err, ShouldBeNil)
 			res.Body.Close()
 			So(res.StatusCode, ShouldEqual, 401)
+			So(r.stories.Get(res.Header.Get(headerRequestID)), ShouldBeNil)
 			So(r.plain.Calls(), ShouldBeEmpty)
 		})
 		Convey("a deadline that passes during the run gives unknown at once, and the engine is told to stop", func() {
