--- a/bundle/differential_test.go
+++ b/bundle/differential_test.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -233,12 +234,7 @@
 	s.groups = maps.Clone(s.groups)
 	for name, group := range s.groups {
 		group = slices.Clone(group)
-		slices.SortFunc(group, func(a, b *Endpoint) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(group, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 		s.groups[name] = group
 	}
 }
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"crypto/sha256"
@@ -135,8 +136,9 @@
 	silent map[string]bool
 }
 
-// node is one instance of a test fleet. It is its own view and its own connections.
+// node is one instance of a test fleet. It is its own connections and its own view, as far as holders use it.
 type node struct {
+	peer.View
 	fleet   *testFleet
 	self    *api.Instance
 	holder  *Holder
@@ -146,11 +148,6 @@
 	done    chan struct{}
 }
 
-var (
-	_ peer.View  = (*node)(nil)
-	_ peer.Conns = (*node)(nil)
-)
-
 func newFleet(t testing.TB, clock clockwork.Clock) *testFleet {
 	f := &testFleet{t: t, objects: standin.NewObjects(), clock: clock, cut: func(a, b string) bool { return false }}
 	f.applyCuts()
@@ -301,9 +298,6 @@
 	return obj, err
 }
 
-// Self implements peer.View.
-func (n *node) Self() *api.Instance { return n.self }
-
 // Members implements peer.View.
 func (n *node) Members() []peer.Member {
 	var out []peer.Member
@@ -318,36 +312,19 @@
 	return out
 }
 
-// Live implements peer.View.
-func (n *node) Live(domain instance.Domain) []*api.Instance {
+// Ranked implements peer.View.
+func (n *node) Ranked(topic string) []*api.Instance {
 	var out []*api.Instance
 	for _, m := range n.Members() {
-		if m.Live && m.Instance.Domain == string(domain) {
+		if m.Live && m.Instance.Domain == n.self.Domain {
 			out = append(out, m.Instance)
 		}
 	}
-	return out
-}
-
-// Owner implements peer.View.
-func (n *node) Owner(topic string) *api.Instance { return n.Ranked(topic)[0] }
-
-// Ranked implements peer.View.
-func (n *node) Ranked(topic string) []*api.Instance {
-	out := n.Live(instance.Domain(n.self.Domain))
 	weight := func(i *api.Instance) uint64 { return xxhash.Sum64String(topic + i.Incarnation) }
-	slices.SortFunc(out, func(a, b *api.Instance) int {
-		if weight(a) < weight(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *api.Instance) int { return cmp.Compare(weight(a), weight(b)) })
 	return out
 }
 
-// Changed implements peer.View.
-func (n *node) Changed() <-chan struct{} { return nil }
-
 // Conn implements peer.Conns.
 func (n *node) Conn(_ context.Context, i instance.Incarnation) (drpc.Conn, error) {
 	for _, o := range n.fleet.list() {
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -210,10 +210,10 @@
 
 // eventView is one event in JSON output.
 type eventView struct {
-	Time     string `json:"time"`
-	Instance string `json:"instance"`
-	Part     string `json:"part"`
-	Text     string `json:"text"`
+	Time     time.Time `json:"time"`
+	Instance string    `json:"instance"`
+	Part     string    `json:"part"`
+	Text     string    `json:"text"`
 }
 
 // storyView is a story in JSON output.
@@ -227,9 +227,9 @@
 	view := storyView{Request: s.RequestId, Customer: s.Customer}
 	rows := [][]string{{"TIME", "INSTANCE", "PART", "WHAT"}}
 	for _, e := range s.Events {
-		at := time.UnixMicro(e.UnixUs).UTC().Format("15:04:05.000000")
+		at := time.UnixMicro(e.UnixUs).UTC()
 		view.Events = append(view.Events, eventView{Time: at, Instance: e.Instance, Part: e.Part, Text: e.Text})
-		rows = append(rows, []string{at, e.Instance, e.Part, e.Text})
+		rows = append(rows, []string{at.Format("15:04:05.000000"), e.Instance, e.Part, e.Text})
 	}
 	if c.app.JSON {
 		return c.app.printJSON(view)
