Refuse to retire who is alive and to take what a program does not know

Cause: retiring an incarnation that still runs frees tokens that it may spend, the one way by which an operator's slip could overspend; a bundle with fields of a newer schema would have been put in force in part. Change: bundle sign and roll refuse a retired incarnation that answers or that an instance reaches; a manifest or part with unknown fields is kept out and reported. Measured: both by tests.

--- a/bundle/compile.go
+++ b/bundle/compile.go
@@ -237,7 +237,7 @@
 	}
 	customer, err := b.next.decodeCustomer(h)
 	if err != nil {
-		b.check.Wrong("customers", h.String(), "the hash of a customer's part")
+		b.check.Wrong("customers", h.String(), "the hash of a customer's part: "+err.Error())
 		return
 	}
 	c := compileCustomer(customer)
--- a/bundle/content.go
+++ b/bundle/content.go
@@ -177,6 +177,9 @@
 	if err := proto.Unmarshal(c.parts[h], part); err != nil {
 		return nil, fmt.Errorf("%w: part %s: %w", ErrMalformed, h, err)
 	}
+	if hasUnknown(part.ProtoReflect()) {
+		return nil, fmt.Errorf("%w: part %s has fields that this program does not know; it needs a newer one", ErrMalformed, h)
+	}
 	return part, nil
 }
 
--- a/bundle/hash.go
+++ b/bundle/hash.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"pumiceshelf/api"
 	"pumiceshelf/invariant"
@@ -55,3 +56,24 @@
 func sizeOf[T paged](item T) int {
 	return proto.Size(any(item).(proto.Message))
 }
+
+// hasUnknown says whether a message or one inside it has fields that the schema of this program lacks.
+func hasUnknown(m protoreflect.Message) bool {
+	if len(m.GetUnknown()) > 0 {
+		return true
+	}
+	unknown := false
+	m.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		switch {
+		case f.Message() == nil:
+		case f.IsList():
+			for i := 0; i < v.List().Len() && !unknown; i++ {
+				unknown = hasUnknown(v.List().Get(i).Message())
+			}
+		default:
+			unknown = hasUnknown(v.Message())
+		}
+		return !unknown
+	})
+	return unknown
+}
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"pumiceshelf/api"
 )
@@ -173,6 +174,14 @@
 			_, text = n.holder.Status()
 			So(text, ShouldBeEmpty)
 		})
+		Convey("a bundle with a field of a newer schema stays out", func() {
+			newer := testBundle(2, 2, 1)
+			newer.Customers[1].Budgets[0].ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 99, protowire.VarintType), 1))
+			mustRoll(t, f.objects, newer)
+			So(n.holder.readPointer(context.Background()), ShouldNotBeNil)
+			_, text := n.holder.Status()
+			So(text, ShouldContainSubstring, "needs a newer one")
+		})
 		Convey("a bundle with too few signatures stays out", func() {
 			store := f.objects.Link("ana")
 			signed, parts := signedNext(store, testBundle(2, 3, 1), ana, carla)
--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -89,6 +89,9 @@
 	if err := proto.Unmarshal(signed.GetManifest(), m); err != nil {
 		return nil, fmt.Errorf("%w: manifest: %w", ErrMalformed, err)
 	}
+	if hasUnknown(m.ProtoReflect()) {
+		return nil, fmt.Errorf("%w: manifest has fields that this program does not know; it needs a newer one", ErrMalformed)
+	}
 	if m.Number == 0 {
 		return nil, fmt.Errorf("%w: manifest without a number", ErrMalformed)
 	}
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -189,6 +189,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.app.checkRetired(l.bundle); err != nil {
+		return err
+	}
 	signed, err := c.app.manifestToSign(l, c.Signed, current)
 	if err != nil {
 		return err
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -64,9 +64,9 @@
 
 func (b *bench) status(name string) *api.Status {
 	s := &api.Status{
-		Instance:          &api.Instance{Name: name, Domain: "d-" + name},
+		Instance:          &api.Instance{Name: name, Domain: "d-" + name, Incarnation: name + "~1"},
 		PlatformReachable: true,
-		Peers:             []*api.PeerStatus{{Instance: &api.Instance{Name: "c9"}}},
+		Peers:             []*api.PeerStatus{{Instance: &api.Instance{Name: "c9"}}, {Instance: &api.Instance{Incarnation: "c8~1"}, Reachable: true}},
 		Endpoints:         []*api.EndpointStatus{{Endpoint: "engine-1", Limit: 8, Ejected: true}},
 	}
 	if name == "b1" && b.stuck > 0 {
@@ -174,6 +174,17 @@
 			So(code, ShouldEqual, ctl.ExitSuperseded)
 			So(errText, ShouldContainSubstring, `grants[second] = {"id":"second","tokens":"70"}`)
 		})
+		Convey("an incarnation that answers or is reached cannot be retired", func() {
+			for _, name := range []string{"a1~1", "c8~1"} {
+				text, err := os.ReadFile(second)
+				So(err, ShouldBeNil)
+				retiring := strings.Replace(string(text), `"threshold"`, `"retiredIncarnations": ["`+name+`"], "threshold"`, 1)
+				So(os.WriteFile(b.path("retiring"), []byte(retiring), 0o600), ShouldBeNil)
+				code, _, errText := b.run("bundle", "sign", b.path("retiring"), "--operator", "ana", "--key", b.path("ana.key"), "--signed", b.path("s"))
+				So(code, ShouldEqual, ctl.ExitProblems)
+				So(errText, ShouldContainSubstring, "retiredIncarnations[0]")
+			}
+		})
 		Convey("a sweep says what it removed and noted", func() {
 			code, out, _ := b.run("bundle", "sweep", "--keep", "1")
 			So(code, ShouldEqual, ctl.ExitOK)
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -20,9 +20,11 @@
 type answered struct {
 	address string
 	// name of the instance, its address if unknown.
-	name   string
-	status *api.Status
-	err    error
+	name string
+	// leaving says that the platform lists the instance as leaving.
+	leaving bool
+	status  *api.Status
+	err     error
 }
 
 // addresses returns the admin addresses of the instances named on the command line, else of the platform's list, with
@@ -44,8 +46,8 @@
 		return nil, fmt.Errorf("ctl: read the list of instances: %w", err)
 	}
 	for _, i := range list.Instances {
-		if !i.Leaving && i.AdminAddress != "" {
-			out = append(out, answered{address: i.AdminAddress, name: i.Name})
+		if i.AdminAddress != "" {
+			out = append(out, answered{address: i.AdminAddress, name: i.Name, leaving: i.Leaving})
 		}
 	}
 	return out, nil
--- a/ctl/roll.go
+++ b/ctl/roll.go
@@ -47,6 +47,9 @@
 	if err := c.app.checkRoll(l, signed, store); err != nil {
 		return err
 	}
+	if err := c.app.checkRetired(l.bundle); err != nil {
+		return err
+	}
 	if err := bundle.Roll(c.app.ctx, store, signed, l.parts); err != nil {
 		return err
 	}
@@ -128,8 +131,12 @@
 }
 
 func rollViewOf(number uint64, list []answered) rollView {
-	view := rollView{Number: number, Instances: len(list), Behind: []behindView{}}
+	view := rollView{Number: number, Behind: []behindView{}}
 	for _, s := range list {
+		if s.leaving {
+			continue
+		}
+		view.Instances++
 		switch {
 		case s.err != nil:
 			view.Behind = append(view.Behind, behindView{Instance: s.name, Why: s.err.Error()})
