Keep slow callers from making connections look silent; look for goroutines left behind

Cause: while a caller took a piece slowly nothing was read from the engine, so that the progress timer could run out and all connections to the endpoint were discarded. Change: the time that passing a piece on takes does not count. Tests check for goroutines that calls leave behind, for the connection of its own that a non-idempotent request gets, and for calls of plain services that may and may not be repeated. Measured: without the pause the new test resumes and discards; without the own connection its test fails.

--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -264,6 +264,16 @@
 			So(r.client.count.discarded.Count(), ShouldEqual, 0)
 			So(len(r.engine.Runs()), ShouldEqual, 2)
 		})
+		Convey("a caller that takes its answer slowly makes no connection silent", func() {
+			r.client.cfg.ProgressTimeout, r.client.cfg.StallTimeout = time.Hour, 20*time.Millisecond
+			res := r.client.Do(context.Background(), r.call("a", true), func(Piece) error {
+				time.Sleep(70 * time.Millisecond)
+				return nil
+			})
+			So(res.Status, ShouldEqual, Complete)
+			So(res.Resumes, ShouldEqual, 0)
+			So(r.client.count.discarded.Count(), ShouldEqual, 0)
+		})
 		Convey("a stream whose connection goes silent between tokens is picked up from there", func() {
 			r.client.cfg.ProgressTimeout, r.client.cfg.StallTimeout = time.Hour, 50*time.Millisecond
 			call := r.call("a", true)
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -158,14 +158,34 @@
 type watch struct {
 	timer clockwork.Timer
 	limit atomic.Int64
+	// paused says that the client itself keeps the other end waiting.
+	paused atomic.Bool
 }
 
 func newWatch(clock clockwork.Clock, limit time.Duration, f func()) *watch {
-	w := &watch{timer: clock.AfterFunc(limit, f)}
+	w := new(watch)
 	w.limit.Store(int64(limit))
+	started := make(chan struct{})
+	w.timer = clock.AfterFunc(limit, func() {
+		<-started
+		if w.paused.Load() {
+			w.progress()
+			return
+		}
+		f()
+	})
+	close(started)
 	return w
 }
 
+// pause runs f, whose time does not count.
+func (w *watch) pause(f func()) {
+	w.paused.Store(true)
+	f()
+	w.progress()
+	w.paused.Store(false)
+}
+
 // setLimit changes the time and starts it anew.
 func (w *watch) setLimit(limit time.Duration) {
 	w.limit.Store(int64(limit))
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -166,7 +166,9 @@
 	if n > 0 {
 		x.flowing()
 	}
-	return s.relay(&c, n, e.Data)
+	reason := ReasonNone
+	x.watch.pause(func() { reason = s.relay(&c, n, e.Data) })
+	return reason
 }
 
 // seen says whether an event that ends at or before the next token is a duplicate.
--- a/server/fakes_test.go
+++ b/server/fakes_test.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -160,12 +162,15 @@
 	front   *httptest.Server
 	engines []*standin.Engine
 	plain   *standin.Plain
+	spare   *standin.Plain
 	keeper  *keeper
 	gate    *gate
 	admit   *admitter
 	retries *retries
 	stories *story.Book
 	client  *endpoint.HTTPClient
+	// dials counts the connections to endpoints.
+	dials   atomic.Int32
 	closers []func()
 	// caller has connections of its own, so that no test meets those of another.
 	caller *http.Transport
@@ -186,9 +191,10 @@
 		retries: &retries{left: 10},
 		caller:  &http.Transport{},
 		plain:   standin.NewPlain(standin.PlainConfig{ID: "plans"}),
+		spare:   standin.NewPlain(standin.PlainConfig{ID: "plans"}),
 		stories: story.NewBook(64, time.Now),
-		client:  endpoint.New(endpoint.Config{ProgressTimeout: time.Minute, Log: quiet()}),
 	}
+	r.client = endpoint.New(endpoint.Config{ProgressTimeout: time.Minute, Log: quiet(), Dial: r.dial})
 	src := &source{snapshot: bundle.Compile(r.bundle())}
 	r.admit = &admitter{source: src}
 	set := settings.Default()
@@ -203,6 +209,11 @@
 	return r
 }
 
+func (r *rig) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	r.dials.Add(1)
+	return new(net.Dialer).DialContext(ctx, network, address)
+}
+
 func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
 
 func (r *rig) bundle() *api.Bundle {
@@ -222,7 +233,9 @@
 		r.engines = append(r.engines, e)
 		b.Endpoints = append(b.Endpoints, &api.Endpoint{Id: fmt.Sprint("engine-", i), Url: r.listen(e).URL, Models: []string{"price", "dose"}})
 	}
-	b.Endpoints = append(b.Endpoints, &api.Endpoint{Id: "plans-0", Url: r.listen(r.plain).URL, Service: "plans"})
+	for i, p := range []*standin.Plain{r.plain, r.spare} {
+		b.Endpoints = append(b.Endpoints, &api.Endpoint{Id: fmt.Sprint("plans-", i), Url: r.listen(p).URL, Service: "plans"})
+	}
 	return b
 }
 
--- a/server/main_test.go
+++ b/server/main_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
-// TestMain fixes the seed of randomised tests, so that the verdict is the same in every run.
+// TestMain fixes the seed of randomised tests, so that the verdict is the same in every run, and checks that no request
+// leaves a goroutine behind.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261203")
 	_ = flag.Set("rapid.checks", "60")
 	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	// The metrics library keeps one goroutine for the whole process.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -127,6 +127,12 @@
 			So(u.Prompt+u.Generated, ShouldBeLessThan, 120)
 			So(r.server.meters.overBound.Count(), ShouldEqual, 1)
 		})
+		Convey("only a non-idempotent request has a connection of its own", func() {
+			for _, model := range []string{"price", "price", "dose", "dose", "price"} {
+				So(r.chat(model, false).status, ShouldEqual, 200)
+			}
+			So(r.dials.Load(), ShouldEqual, 3)
+		})
 		Convey("a plain service's answer is passed on with its status and headers", func() {
 			got := r.send("GET", "/plans/7?full=1", "", "X-Field", "north")
 			So(got.status, ShouldEqual, 200)
@@ -185,7 +191,12 @@
 		Convey("a plain call that may not be repeated runs once, others run again within the retry budget", func() {
 			r.plain.SetFaults(standin.PlainFaults{Crossed: true})
 			So(problemOf(r.send("POST", "/plans/7", "x")).Outcome, ShouldEqual, outcomeUnknown)
-			So(len(r.plain.Calls()), ShouldEqual, 1)
+			So(problemOf(r.send("GET", "/plans/7", "", headerIdempotent, "false")).Outcome, ShouldEqual, outcomeUnknown)
+			So(problemOf(r.send("POST", "/plans/7", "x", headerIdempotent, "true")).Outcome, ShouldEqual, outcomeUnknown)
+			So(len(r.plain.Calls()), ShouldEqual, 3)
+			So(r.spare.Calls(), ShouldBeEmpty)
+			So(r.send("GET", "/plans/7", "").status, ShouldEqual, 200)
+			So(len(r.spare.Calls()), ShouldEqual, 1)
 		})
 		Convey("with the retry budget empty nothing runs again", func() {
 			r.retries.left = 0
