Test that a running controller answers in time and leaves no goroutine

Cause: Run of the controller had no test. Change: a test on a fake clock; the metrics library's own ticker is not ours.

--- a/admit/shell_test.go
+++ b/admit/shell_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
 )
 
 func item(customer string, class Class, deadline time.Time) Item {
@@ -151,3 +153,24 @@
 		So(turns, ShouldEqual, turnsPerLower+1)
 	})
 }
+
+func TestRun(t *testing.T) {
+	Convey("A controller that runs answers a request the moment it is hopeless, and all when it ends", t, func() {
+		defer goleak.VerifyNone(t, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+		s := &slots{places: 0}
+		c, clock := newController(s, 10, 100)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- c.Run(ctx) }()
+		now := clock.Now()
+		chs := admitAll(c, item("x", Standard, now.Add(sweepInterval)), item("x", Standard, now.Add(1<<62)))
+		for len(chs[0]) == 0 {
+			clock.Advance(sweepInterval)
+			runtime.Gosched()
+		}
+		So(answered(chs[0]), ShouldEqual, TooLate)
+		cancel()
+		So(<-done, ShouldEqual, context.Canceled)
+		So(answered(chs[1]), ShouldEqual, NoCapacity)
+	})
+}
