Check settings in a fixed order; refuse an admin address that cannot be dialled

Cause: problems with durations came in another order each run; instances and pumicectl dial the admin address, so the unspecified one would make explain and rolls blind. Change: durations are checked in the order of the schema; adminAddress must be a specific address.

--- a/bundle/content.go
+++ b/bundle/content.go
@@ -77,7 +77,7 @@
 }
 
 func (l *loader) decodePages(fleet Hash, endpoints, customers []Hash) error {
-	part, err := l.decode(fleet)
+	part, err := l.out.decode(fleet)
 	if err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 			return nil
 		}
 	}
-	part, err := l.decode(h)
+	part, err := l.out.decode(h)
 	if err != nil {
 		return err
 	}
@@ -117,7 +117,7 @@
 }
 
 func (l *loader) addCustomerPage(h Hash) error {
-	part, err := l.decode(h)
+	part, err := l.out.decode(h)
 	if err != nil {
 		return err
 	}
@@ -170,8 +170,6 @@
 	return nil
 }
 
-func (l *loader) decode(h Hash) (*api.Part, error) { return l.out.decode(h) }
-
 func (c *content) decode(h Hash) (*api.Part, error) {
 	part := &api.Part{}
 	if err := proto.Unmarshal(c.parts[h], part); err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -68,8 +68,8 @@
 	c.address("peerAddress", s.PeerAddress)
 	c.address("adminAddress", s.AdminAddress)
 	c.distinct(s)
-	peer, err := netip.ParseAddrPort(s.PeerAddress)
-	c.Require(err != nil || !peer.Addr().IsUnspecified(), "peerAddress", s.PeerAddress, "the address that peers dial, not the unspecified one")
+	c.specified("peerAddress", s.PeerAddress)
+	c.specified("adminAddress", s.AdminAddress)
 	c.Require(validBase(s.PlatformUrl), "platformUrl", s.PlatformUrl, "http:// or https:// with an IP address and port, such as http://192.0.2.1:8080")
 }
 
@@ -78,6 +78,12 @@
 	c.Require(err == nil, path, text, "an IP address and port, such as 192.0.2.1:8443")
 }
 
+// specified requires an address that others can dial.
+func (c *checker) specified(path, text string) {
+	a, err := netip.ParseAddrPort(text)
+	c.Require(err != nil || !a.Addr().IsUnspecified(), path, text, "the address that others dial, not the unspecified one")
+}
+
 // distinct requires that no two listeners share an address. Port 0 asks for any free port.
 func (c *checker) distinct(s *api.Settings) {
 	seen := make(map[string]string)
@@ -162,19 +168,24 @@
 
 // durations requires that every time span is positive and of a sensible length.
 func (c *checker) durations(m protoreflect.Message, prefix string) {
-	m.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
-		path := prefix + f.JSONName()
-		if f.Message() == nil || f.IsList() {
-			return true
+	for i := range m.Descriptor().Fields().Len() {
+		f := m.Descriptor().Fields().Get(i)
+		if f.Message() == nil || f.IsList() || !m.Has(f) {
+			continue
 		}
-		if d, ok := v.Message().Interface().(*durationpb.Duration); ok {
-			span := d.AsDuration()
-			c.Require(d.CheckValid() == nil && span > 0 && span <= durationLimit, path, span, fmt.Sprintf("over 0s, at most %s", durationLimit))
-			return true
+		path := prefix + f.JSONName()
+		inner := m.Get(f).Message()
+		if d, ok := inner.Interface().(*durationpb.Duration); ok {
+			c.duration(path, d)
+			continue
 		}
-		c.durations(v.Message(), path+".")
-		return true
-	})
+		c.durations(inner, path+".")
+	}
+}
+
+func (c *checker) duration(path string, d *durationpb.Duration) {
+	span := d.AsDuration()
+	c.Require(d.CheckValid() == nil && span > 0 && span <= durationLimit, path, span, fmt.Sprintf("over 0s, at most %s", durationLimit))
 }
 
 func (c *checker) count(path string, value, low, high uint64) {
