--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
@@ -43,6 +44,8 @@
 	announced chan announcement
 	tell      chan struct{}
 	failure   atomic.Pointer[failure]
+	// watchFor bounds one watch.
+	watchFor time.Duration
 	// platformDown says that the last call to the platform failed.
 	platformDown atomic.Bool
 }
@@ -71,7 +74,7 @@
 
 // New returns a holder without a bundle.
 func New(cfg Config) *Holder {
-	h := &Holder{cfg: cfg, announced: make(chan announcement, announceQueue), tell: make(chan struct{}, 1)}
+	h := &Holder{cfg: cfg, announced: make(chan announcement, announceQueue), tell: make(chan struct{}, 1), watchFor: watchTimeout}
 	h.force.Store(&inForce{
 		trust:    trust{operators: cfg.FirstOperators, threshold: cfg.FirstThreshold},
 		replaced: make(chan struct{}),
--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
@@ -252,6 +253,7 @@
 			f.prepare("d1", fmt.Sprintf("a%d", i))
 		}
 		for _, n := range f.list() {
+			n.holder.watchFor = time.Hour
 			n.run()
 		}
 		allHave(t, f.list(), 1)
--- a/bundle/watch.go
+++ b/bundle/watch.go
@@ -67,7 +67,7 @@
 
 // watchOnce waits for one change and returns the version seen. An error means that it is to be seen again.
 func (h *Holder) watchOnce(ctx context.Context, seen platform.Version) (platform.Version, error) {
-	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, h.watchFor)
 	defer cancel()
 	obj, err := h.cfg.Store.Watch(watchCtx, PointerKey, seen)
 	switch {
