Drain an instance that a bundle retires; show the platform of the demo

Cause: operators who retire a living incarnation let others close its leases, while it went on serving; and pumicectl could not be tried on the demo.

Measured: a test retires one of six instances; it ends with the typed error and the others answer. Without the watch the test does not end within a minute.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -216,6 +216,7 @@
 }
 
 func (d *Demo) serve(ctx context.Context) {
+	fmt.Fprintf(d.out, "platform: %s, for pumicectl --platform\n", d.fleet.PlatformURL())
 	for _, m := range d.fleet.Members() {
 		fmt.Fprintf(d.out, "%s: callers http://%s, operators http://%s\n", m.Name, m.Node.CallerAddress(), m.Node.AdminAddress())
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -96,7 +96,7 @@
 	s.CallerAddress = loopbackPort
 	s.PeerAddress = loopbackPort
 	s.AdminAddress = loopbackPort
-	s.PlatformUrl = "http://" + f.platformAddress
+	s.PlatformUrl = f.PlatformURL()
 	s.FirstOperators = []*api.OperatorKey{f.operatorKey()}
 	s.FirstThreshold = 1
 	if f.config.Adjust != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -210,6 +210,15 @@
 	return nil
 }
 
+// Ended returns the channel on which the result of the instance's Run comes.
+func (m *Member) Ended() <-chan error { return m.ended }
+
+// Forget takes an instance that has ended off the platform's list.
+func (f *Fleet) Forget(m *Member) {
+	f.remove(m)
+	f.publish()
+}
+
 // Kill stops an instance at once, as a crash does, and takes it off the platform's list.
 func (f *Fleet) Kill(m *Member) error {
 	f.remove(m)
@@ -260,6 +269,9 @@
 	f.Objects.SetInstances(list)
 }
 
+// PlatformURL returns the base URL of the object API.
+func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddress }
+
 // Store returns the object API as operators reach it.
 func (f *Fleet) Store() platform.Store { return f.Objects.Link("operators") }
 
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,9 @@
 	adminReadTimeout = 5 * time.Second
 )
 
+// ErrRetired means that operators declared this incarnation gone for good while it was alive. It has drained itself.
+var ErrRetired = errors.New("node: this incarnation was retired by a bundle; start the instance again")
+
 // Node is one instance of the fleet. Run serves; Shutdown drains it; ending Run's context stops it at once.
 type Node struct {
 	config    Config
@@ -144,7 +147,7 @@
 	p := n.parts
 	runs := []func(context.Context) error{
 		p.fleet.Run, p.bundles.Run, p.quota.Run, p.gate.Run, p.balancer.Run, p.admission.Run, p.orders.Run,
-		n.servePeers, n.serveCallers, n.serveAdmin,
+		n.servePeers, n.serveCallers, n.serveAdmin, n.watchRetired,
 	}
 	for _, run := range runs {
 		group.Go(func() error { return run(ctx) })
@@ -161,6 +164,14 @@
 // Shutdown takes no new work, finishes the requests in progress, gives leases back and ends Run. When ctx ends first,
 // it stops at once and returns an error that says what was dropped.
 func (n *Node) Shutdown(ctx context.Context) error {
+	err := n.drain(ctx)
+	n.stop()
+	<-n.stopped
+	return err
+}
+
+// drain does all of a shutdown but ending Run.
+func (n *Node) drain(ctx context.Context) error {
 	n.config.Log.Infof("node: draining, %d requests in progress", n.InProgress())
 	n.draining.Store(true)
 	p := n.parts
@@ -175,11 +186,32 @@
 	if e := p.quota.Drain(ctx); e != nil {
 		err = errors.Join(err, fmt.Errorf("node: leases not given back: %w", e))
 	}
-	n.stop()
-	<-n.stopped
 	return err
 }
 
+// watchRetired drains the instance when a bundle retires its incarnation: others may then close its leases.
+func (n *Node) watchRetired(ctx context.Context) error {
+	for {
+		changed := n.parts.bundles.Changed()
+		s := n.parts.bundles.Current()
+		if s != nil && s.Retired(instance.Incarnation(n.self.Incarnation)) {
+			return n.retire()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) retire() error {
+	n.config.Log.Errorf("node: %s is retired by a bundle, draining", n.self.Incarnation)
+	ctx, cancel := context.WithTimeout(context.Background(), n.config.Settings.Server.DrainTimeout.AsDuration())
+	defer cancel()
+	return errors.Join(ErrRetired, n.drain(ctx))
+}
+
 func (n *Node) servePeers(ctx context.Context) error {
 	return n.parts.fleet.Serve(ctx, n.listeners.peer)
 }
