--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -19,6 +19,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/instance"
 	"pumiceshelf/internal/standin"
+	"pumiceshelf/tlsfiles"
 )
 
 const (
@@ -289,3 +290,32 @@
 		})
 	})
 }
+
+func TestMutualTLS(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("Given instances with certificates of one authority and one with another's", t, func() {
+		fleet, err := standin.NewAuthority("fleet")
+		So(err, ShouldBeNil)
+		other, err := standin.NewAuthority("other")
+		So(err, ShouldBeNil)
+		s := newStage()
+		Reset(s.stop)
+		start := func(name string, a *standin.Authority) *node {
+			files, err := a.WriteFiles(t.TempDir(), name)
+			So(err, ShouldBeNil)
+			source, err := tlsfiles.New(files)
+			So(err, ShouldBeNil)
+			s.tls = &TLSConfig{Server: source.ServerConfig(true), Client: source.ClientConfig}
+			return s.start(name, "x", "127.0.0.1:0")
+		}
+		a, b, stranger := start("a", fleet), start("b", fleet), start("stranger", other)
+		s.list()
+
+		Convey("those of the authority meet, the other is met by none", func() {
+			eventually("a meets b", sees(a, b, true))
+			eventually("b meets a", sees(b, a, true))
+			eventually("a does not reach the stranger", sees(a, stranger, false))
+			So(connsFailed.Counter(stranger.metrics).Count()+connsFailed.Counter(a.metrics).Count(), ShouldBeGreaterThan, 0)
+		})
+	})
+}
