Keep authority ahead of the first requests, and test what mutations missed

Cause: the largest bound was learnt at settlement, so each request before the first settlement waited for a witness; and one very large request kept leases large for ever. Leaving rules out of quota/ on a scratch copy, four changes went unnoticed by its tests: a settlement forgotten once adopted, attempts unknown to their instance not released, an unconditional close, and the wants of others ignored. Change: bounds are noted when asked for and forgotten after some minutes. Tests for the four. The test of the lease's size took the nominal demand as its measure, which the simulated clock does not keep (1,135,148 found for 1,140,000): it now takes the demand that the holder measured, and allows for two write intervals only, so it is stricter than before. The fleet of the tests waits for settlements in flight at each step: one test met a slow call about once in ten runs.

--- a/budget/demand.go
+++ b/budget/demand.go
@@ -14,21 +14,26 @@
 	weight  float64
 	pending Tokens
 	last    time.Time
-	largest Tokens
+	// largest is the largest bound since rotated, and previous the one of the window before.
+	largest, previous Tokens
+	rotated           time.Time
 }
 
-// Add counts tokens billed, and the bound they were reserved with.
-func (d *Demand) Add(tokens, bound Tokens) {
-	d.pending += tokens
-	d.largest = max(d.largest, bound)
-}
+// Add counts tokens billed.
+func (d *Demand) Add(tokens Tokens) { d.pending += tokens }
+
+// Ask notes the bound of a request.
+func (d *Demand) Ask(bound Tokens) { d.largest = max(d.largest, bound) }
 
 // Update folds what was counted since the last call into the average.
 func (d *Demand) Update(now time.Time) {
 	if d.last.IsZero() {
-		d.last = now
+		d.last, d.rotated = now, now
 		return
 	}
+	if now.Sub(d.rotated) >= demandWindow {
+		d.previous, d.largest, d.rotated = d.largest, 0, now
+	}
 	passed := now.Sub(d.last)
 	if passed <= 0 {
 		return
@@ -52,8 +57,8 @@
 	return Tokens(math.Ceil(d.PerSecond() * t.Seconds()))
 }
 
-// Largest returns the largest bound of a request counted.
-func (d *Demand) Largest() Tokens { return d.largest }
+// Largest returns the largest bound of a request in the last minutes.
+func (d *Demand) Largest() Tokens { return max(d.largest, d.previous) }
 
 // Share returns the part of an amount that falls to a demand among all, rounded down.
 func Share(amount Tokens, mine, all float64) Tokens {
--- a/budget/lease.go
+++ b/budget/lease.go
@@ -250,14 +250,6 @@
 	return true
 }
 
-// Bound returns the bound of a request's open reservation, or zero.
-func (l *Lease) Bound(requestID string) Tokens {
-	if r := l.open[requestID]; r != nil {
-		return r.Bound
-	}
-	return 0
-}
-
 // Has says whether a request has an open reservation.
 func (l *Lease) Has(requestID string) bool { return l.open[requestID] != nil }
 
--- a/budget/rules_test.go
+++ b/budget/rules_test.go
@@ -257,6 +257,8 @@
 		e.Want("b", "d2", 250, 0)
 		So(budget.Wanted(e.Entry("b"), "d1"), ShouldEqual, 150)
 		So(budget.Wanted(e.Entry("b"), "d2"), ShouldEqual, 0)
+		So(budget.Spare(e.Entry("b"), "d1"), ShouldEqual, 0)
+		So(budget.Spare(e.Entry("b"), "d2"), ShouldEqual, 100)
 	})
 }
 
--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -100,6 +100,25 @@
 	})
 }
 
+func TestReclaimOfLivingHolder(t *testing.T) {
+	Convey("A reclaimer that read the ledger before its holder wrote it closes nothing", t, func() {
+		f := newFleet(t, 10_000)
+		f.start("d1", "a")
+		f.start("d1", "b")
+		holder, other := f.holder("d1"), f.other("d1")
+		f.reserve(holder, "r0", 100)
+		ledger, version, err := readLedger(t.Context(), f.objects.Link("test"), hot.Customer)
+		So(err, ShouldBeNil)
+		f.settle(holder, "r0", 50)
+		f.steps(15 * time.Second)
+		So(f.ledger().Leases[0].Settled, ShouldEqual, 50)
+		f.bundles.set(10_000, holder.self.Incarnation)
+		other.reclaimLedger(t.Context(), ledger, version, other.liveIncarnations())
+		So(f.ledger().Leases[0].Closed, ShouldBeFalse)
+		So(other.counters.reclaimWait.Count(), ShouldEqual, 1)
+	})
+}
+
 func TestWitnessCrash(t *testing.T) {
 	Convey("A witness that dies is replaced as soon as the view says so, and the lease can be reclaimed after", t, func() {
 		f := newFleet(t, 10_000)
@@ -170,6 +189,15 @@
 			f.steps(90 * time.Second)
 			So(f.ledger().Leases[0].Settled, ShouldEqual, 0)
 		})
+		Convey("a reservation that its living entry instance does not know is released", func() {
+			_, err := service{holder.Manager}.Reserve(t.Context(), &api.ReserveBatch{From: entry.self.Incarnation, Items: []*api.ReserveItem{
+				{RequestId: "late", Customer: hot.Customer, Budget: hot.Budget, BoundTokens: 50, Attempt: 999},
+			}})
+			So(err, ShouldBeNil)
+			So(holder.Status()[0].Lease.Reserved, ShouldEqual, 150)
+			f.steps(time.Minute)
+			So(holder.Status()[0].Lease.Reserved, ShouldEqual, 100)
+		})
 		Convey("a reservation whose answer was lost is released", func() {
 			f.loseAnswers(func(_, to, rpc string) bool { return to == holder.self.Incarnation })
 			r := f.reserve(entry, "r2", 100)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -208,6 +208,28 @@
 	for _, n := range f.running() {
 		n.background(f.t.Context(), d)
 	}
+	f.land()
+}
+
+// land waits until no settlement is on its way, since calls take real time and the fleet's clock stands still meanwhile.
+func (f *fleet) land() {
+	for _, n := range f.running() {
+		for n.entry.inFlight() {
+			time.Sleep(20 * time.Microsecond)
+		}
+	}
+}
+
+// inFlight says whether a settlement was sent and not answered.
+func (e *entry) inFlight() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for d := range e.sent {
+		if d.flying {
+			return true
+		}
+	}
+	return false
 }
 
 // stepTogether is step with all instances at work side by side.
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -97,6 +97,7 @@
 	now := w.since
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.demand.Ask(w.bound)
 	if len(a.waiters) == 0 {
 		if r, ok := a.reserve(w, now, h.m.self); ok {
 			h.keepAhead(a)
@@ -193,13 +194,12 @@
 		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, h.m.segments.last()
 	}
 	usage := budget.Tokens(rec.PromptTokens) + budget.Tokens(rec.GeneratedTokens)
-	bound := l.Bound(rec.RequestId)
 	charge, ok := l.Settle(rec.RequestId, attempt, usage)
 	if !ok {
 		h.m.counters.duplicate.Inc(1)
 		return api.SettleOutcome_SETTLE_OUTCOME_DUPLICATE, h.m.segments.last()
 	}
-	return api.SettleOutcome_SETTLE_OUTCOME_SETTLED, h.record(a, l, rec, charge, usage, bound, now)
+	return api.SettleOutcome_SETTLE_OUTCOME_SETTLED, h.record(a, l, rec, charge, usage, now)
 }
 
 // release ends an attempt that did not run, under whatever lease it was reserved. The caller holds a.mu.
@@ -213,14 +213,14 @@
 }
 
 // record queues the record of a bill. The caller holds a.mu.
-func (h *holder) record(a *account, l *heldLease, rec *api.UsageRecord, charge, usage, bound budget.Tokens, now time.Time) uint64 {
+func (h *holder) record(a *account, l *heldLease, rec *api.UsageRecord, charge, usage budget.Tokens, now time.Time) uint64 {
 	if usage > charge {
 		h.m.counters.overBound.Inc(1)
 		rec.PromptTokens = min(rec.PromptTokens, uint64(charge))
 		rec.GeneratedTokens = uint64(charge) - rec.PromptTokens
 	}
 	a.recent.Add(rec.RequestId, now.UnixMilli())
-	a.demand.Add(charge, bound)
+	a.demand.Add(charge)
 	l.queued += charge
 	l.checkRecords()
 	h.m.counters.settled.Inc(1)
--- a/quota/orphan.go
+++ b/quota/orphan.go
@@ -130,7 +130,7 @@
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
 	if charge, ok := c.lease.SettleOrphan(c.requestID, prompt+generated); ok {
-		m.holder.record(c.account, c.lease, rec, charge, prompt+generated, c.bound, now)
+		m.holder.record(c.account, c.lease, rec, charge, prompt+generated, now)
 	}
 }
 
--- a/quota/refusal_test.go
+++ b/quota/refusal_test.go
@@ -61,17 +61,20 @@
 }
 
 func TestLeaseKeepsItsSize(t *testing.T) {
-	Convey("In ordinary service a lease never falls much below the outage it is sized for", t, func() {
+	Convey("In ordinary service a lease never falls below the demand of the outage it is sized for, but for one interval", t, func() {
 		f := newFleet(t, 40_000_000)
 		n := f.start("d1", "a")
 		f.start("d1", "b")
 		f.serve(n, "before", 5*time.Minute)
-		const perMinute = 2 * 60 * 500
+		holder := f.holder("d1")
+		a := holder.holder.account(hot)
+		interval := settledInterval * holder.cfg.flushInterval()
 		for i := range 30 {
 			f.serve(n, fmt.Sprint("m", i, "-"), time.Minute)
-			for _, l := range f.holder("d1").Status() {
-				So(l.Lease.Taken-l.Lease.Settled, ShouldBeGreaterThan, 19*perMinute)
-			}
+			a.mu.Lock()
+			unused, least := a.lease.Unused(), a.demand.Over(holder.cfg.outage()-2*interval)
+			a.mu.Unlock()
+			So(unused, ShouldBeGreaterThan, least)
 		}
 	})
 }
