Bound the wait of the retirement test

Change: the wait ends with the test's context. Measured: with the watch taken out and the limit at 20 s, the test fails; with it, passes in under a second.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -30,7 +30,11 @@
 			b := f.Bundle(2)
 			b.RetiredIncarnations = []string{m.Node.Self().Incarnation}
 			So(f.Roll(ctx, b), ShouldBeNil)
-			err := <-m.Ended()
+			select {
+			case err = <-m.Ended():
+			case <-ctx.Done():
+				err = ctx.Err()
+			}
 			So(errors.Is(err, node.ErrRetired), ShouldBeTrue)
 			f.Forget(m)
 
