Leave an endpoint alone for a moment after it answered that it has no room

Change: no new work for 50 ms, doubling up to 1 s with each such answer in a row; word of room when the rest ends.

--- a/route/follow.go
+++ b/route/follow.go
@@ -55,23 +55,24 @@
 // tick lets ejections and peers' words end.
 func (b *Balancer) tick() {
 	now := b.config.Clock.Now()
-	out, returned := 0, false
+	out, room := 0, false
 	t := b.table.Load()
 	for id, s := range t.states {
 		if s.health.ejected(now) {
 			out++
 		}
 		if s.health.takeReturn(now) {
-			returned = true
+			room = true
 			b.returned(id)
 		}
+		room = s.health.takeRest(now) || room
 	}
 	b.meters.outNow.Update(int64(out))
 	b.mu.Lock()
 	b.leaving.forget(now, func(id string) bool { return t.states[id] != nil })
 	b.markLeaving()
 	b.mu.Unlock()
-	if returned {
+	if room {
 		b.room("")
 	}
 }
--- a/route/health.go
+++ b/route/health.go
@@ -14,6 +14,15 @@
 	silentWeight = 2
 )
 
+const (
+	// restMin and restMax bound how long an endpoint that has no room is left alone. The time doubles with each such
+	// answer in a row.
+	restMin = 50 * time.Millisecond
+	restMax = time.Second
+	// restDoublings bounds how often it doubles.
+	restDoublings = 5
+)
+
 // health counts failures in a row and keeps an endpoint that has too many of them out of rotation for a time.
 type health struct {
 	failures atomic.Int64
@@ -21,6 +30,27 @@
 	until atomic.Int64
 	// ejections in a row, without an answer between them.
 	ejections atomic.Int64
+	// refusals in a row for lack of room, and the end of the rest after the last, in Unix nanoseconds; zero for none.
+	refusals atomic.Int64
+	rested   atomic.Int64
+}
+
+// full leaves an endpoint alone that answered that it has no room, be it that it is full or that it loads its model.
+func (h *health) full(now time.Time) {
+	n := min(h.refusals.Add(1)-1, restDoublings)
+	h.rested.Store(now.Add(min(restMin<<n, restMax)).UnixNano())
+}
+
+// rests says whether the endpoint is left alone now.
+func (h *health) rests(now time.Time) bool {
+	until := h.rested.Load()
+	return until != 0 && now.UnixNano() < until
+}
+
+// takeRest reports, once, that a rest has ended.
+func (h *health) takeRest(now time.Time) bool {
+	until := h.rested.Load()
+	return until != 0 && now.UnixNano() >= until && h.rested.CompareAndSwap(until, 0)
 }
 
 // ejected says whether the endpoint is out of rotation now.
@@ -37,6 +67,9 @@
 	if h.ejections.Load() != 0 {
 		h.ejections.Store(0)
 	}
+	if h.refusals.Load() != 0 {
+		h.refusals.Store(0)
+	}
 }
 
 // failed counts a failure and returns how many there were in a row.
--- a/route/learn.go
+++ b/route/learn.go
@@ -13,6 +13,7 @@
 	case r.Busy:
 		b.meters.full.Inc(1)
 		s.limit.full()
+		s.health.full(b.config.Clock.Now())
 	case r.Failed, r.Silent:
 		b.fail(s, r.Silent)
 	case r.Whole() && r.Total > 0:
--- a/route/state.go
+++ b/route/state.go
@@ -58,7 +58,11 @@
 // room returns how many requests this instance may have in flight at the endpoint. At an endpoint of its own domain it
 // has its share of the limit, at least one, and may borrow its portion of the places that the last report showed free.
 // Elsewhere it has only what it may borrow, and while its own domain works, only on a report that shows its busy period.
+// An endpoint that has just answered that it has no room has none.
 func (s *state) room(now time.Time, sd *side, ownWorks bool) int64 {
+	if s.health.rests(now) {
+		return 0
+	}
 	limit := s.limit.get()
 	r := s.report.Load()
 	fresh := r.fresh(now)
