Do not blame endpoints for requests that are wrong

Cause: a request that an engine refused as wrong counted as its failure, so that a customer's bad requests could eject engines. Change: reported as cut, neither failed nor whole.

--- a/server/run.go
+++ b/server/run.go
@@ -125,9 +125,11 @@
 
 // report tells the admitter how a run went.
 func report(res endpoint.Result) admit.Result {
+	// A request that is wrong, or that its caller gave up, is no fault of the endpoint.
+	blameless := res.Status == endpoint.Canceled || res.Reason == endpoint.ReasonRejected
+	busy := res.Reason == endpoint.ReasonBusy
 	return admit.Result{
-		Failed: res.Status != endpoint.Complete && res.Status != endpoint.Canceled && res.Reason != endpoint.ReasonBusy,
-		Busy:   res.Reason == endpoint.ReasonBusy, Cut: res.Status == endpoint.Canceled,
+		Failed: res.Status != endpoint.Complete && !blameless && !busy, Busy: busy, Cut: blameless,
 		Silent: res.Reason == endpoint.ReasonSilent, FirstToken: res.FirstToken, Total: res.Total, Tokens: res.Usage.Generated,
 	}
 }
