Bill requests that only a dead holder knew

Cause: a request whose entry instance is the lease holder lived in one process; when that died nobody billed it. Change: a witness of the lease keeps such a request from before its grant until its record is durable, and bills it under the closed lease if the holder is lost, at the engines' usage, else at the bound. A bound no longer raises the figure of a request already on record. TestMirror has no bill without the mirror.

--- a/budget/billing.go
+++ b/budget/billing.go
@@ -87,14 +87,25 @@
 	return c
 }
 
+// Has says whether a request was billed under a lease lately.
+func (b *Billing) Has(requestID, lease string) bool { return b.pairs[keyOf(requestID, lease)] != nil }
+
+func keyOf(requestID, lease string) billedKey {
+	k := billedKey{lease: hashLease(lease)}
+	sum := sha256.Sum256([]byte(requestID))
+	copy(k.request[:], sum[:])
+	return k
+}
+
 // bill counts a record. A request counts once per lease, at the larger figure if the holder billed its bound and its
 // entry instance knew better; under any lease but the first it is refunded.
 func (b *Billing) bill(r *api.UsageRecord) {
-	k := billedKey{lease: hashLease(r.Lease)}
-	sum := sha256.Sum256([]byte(r.RequestId))
-	copy(k.request[:], sum[:])
+	k := keyOf(r.RequestId, r.Lease)
 	entry := b.entry(r.Budget)
 	known := b.pairs[k]
+	if known != nil && r.AtBound {
+		return // A bound says no more than the figure on record.
+	}
 	if known == nil {
 		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs}
 		b.msg.Billed = append(b.msg.Billed, known)
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -32,6 +32,8 @@
 	holder  string
 	ready   chan struct{}
 	answer  Reservation
+	// mirrors are the witnesses that may keep the request.
+	mirrors []string
 }
 
 // delivery is a settlement on its way to its holder. It is kept until the holder's record is durable.
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -250,6 +250,7 @@
 	n.writeLedgers(ctx)
 	n.every(reclaimInterval, d, n.reclaim)
 	n.every(n.cfg.orphanAfter()/orphanDivisor, d, n.resolveOrphans)
+	n.every(n.cfg.orphanAfter()/orphanDivisor, d, n.billMirrored)
 	n.every(compactInterval, d, n.compact)
 }
 
--- a/quota/link.go
+++ b/quota/link.go
@@ -17,6 +17,11 @@
 	settles     batcher[*delivery]
 	acks        batcher[*ackCall]
 	refresh     batcher[string]
+	mirrors     batcher[mirrorCall]
+	// mirrored numbers the mirror calls; only the mirrors batcher uses it.
+	mirrored uint64
+	// mirrorAfter is when the instance may be asked to mirror requests again, in Unix nanoseconds.
+	mirrorAfter atomic.Int64
 	// avoidUntil is when the instance may be asked for reservations again, in Unix nanoseconds.
 	avoidUntil atomic.Int64
 }
@@ -32,6 +37,7 @@
 	l.settles.send = l.sendSettles
 	l.acks.send = l.sendAcks
 	l.refresh.send = l.sendRefresh
+	l.mirrors.send = l.sendMirrors
 	return l
 }
 
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -23,6 +23,8 @@
 	segments *segments
 	absences *absences
 	gate     *gate
+	mirrors  mirrors
+	kept     *mirrorStore
 
 	witnessMu sync.Mutex
 	witness   *budget.Witness
@@ -52,6 +54,7 @@
 		gate:      &gate{first: cfg.flushInterval() / tickDivisor},
 		witness:   budget.NewWitness(cfg.Self.Incarnation),
 		reclaimed: make(map[string]time.Time),
+		kept:      newMirrorStore(),
 		life:      life,
 		end:       end,
 	}
@@ -71,6 +74,7 @@
 	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
 	g.Go(func() error { return m.loop(ctx, compactInterval, nil, m.compact) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.resolveOrphans) })
+	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.billMirrored) })
 	return g.Wait()
 }
 
@@ -127,8 +131,11 @@
 	_ = g.Wait() // The functions return no errors.
 }
 
-// resend repeats settlements.
-func (m *Manager) resend(context.Context) { m.entry.resend() }
+// resend repeats settlements, and has witnesses forget requests whose records are durable.
+func (m *Manager) resend(context.Context) {
+	m.entry.resend()
+	m.dropMirrors()
+}
 
 // writeRecords writes usage records.
 func (m *Manager) writeRecords(ctx context.Context) {
@@ -144,6 +151,9 @@
 		return m.entry.join(ctx, o)
 	}
 	res := m.reserve(ctx, r, o.attempt)
+	if res.Outcome == Granted && res.Holder == m.self {
+		o.mirrors = m.mirror(r, o.attempt, res.Lease)
+	}
 	m.entry.finish(r.RequestID, o, res)
 	m.count(res.Outcome)
 	return res
@@ -202,7 +212,8 @@
 	}
 	item := &api.SettleItem{Record: m.record(u, o), Attempt: o.attempt, Ran: u.Ran}
 	if o.holder == m.self {
-		m.holder.settle(item, m.self)
+		_, sequence := m.holder.settle(item, m.self)
+		m.settledMirrored(o, u.Ran, sequence)
 		return
 	}
 	d := m.entry.deliver(item, o.holder)
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -40,6 +40,9 @@
 	descReclaimWait  = telemetry.Describe("quota.retry.reclaim", "leases", "Reclaims put off because a witness did not seal or the ledger changed.")
 	descFolded       = telemetry.Describe("quota.segment.folded", "segments", "Usage segments folded into totals by this instance.")
 	descRefunded     = telemetry.Describe("quota.billing.refunded", "requests", "Records of requests that were billed before under another lease.")
+	descUnmirrored   = telemetry.Describe("quota.mirror.missed", "requests", "Requests granted though no witness keeps them: they are not billed if this instance is lost.")
+	descMirrorFull   = telemetry.Describe("quota.mirror.full", "calls", "Mirror calls of other holders turned away because this instance keeps too many requests.")
+	descMirrorBilled = telemetry.Describe("quota.mirror.billed", "requests", "Requests of lost holders billed by this instance, their witness.")
 )
 
 // counters holds the manager's counters, looked up once.
@@ -47,6 +50,7 @@
 	granted, exhausted, outOfReach, unknown, waited, holderRetry, notHolder metrics.Counter
 	settled, duplicate, overBound, released, adopted, resent                metrics.Counter
 	orphan, orphanBound, orphanFreed                                        metrics.Counter
+	unmirrored, mirrorFull, mirrorBilled                                    metrics.Counter
 	writes, reads, conflict, ambiguous, unavailable                         metrics.Counter
 	ackFailed, acks, sealedLease, segments, segmentRetry                    metrics.Counter
 	taken, givenBack, lost, reclaimed, reclaimWait, folded, refunded        metrics.Counter
@@ -65,5 +69,6 @@
 		segments: descSegments.Counter(r), segmentRetry: descSegmentRetry.Counter(r), taken: descTaken.Counter(r),
 		givenBack: descGivenBack.Counter(r), lost: descLost.Counter(r), reclaimed: descReclaimed.Counter(r),
 		reclaimWait: descReclaimWait.Counter(r), folded: descFolded.Counter(r), refunded: descRefunded.Counter(r),
+		unmirrored: descUnmirrored.Counter(r), mirrorFull: descMirrorFull.Counter(r), mirrorBilled: descMirrorBilled.Counter(r),
 	}
 }
--- a/quota/orphan.go
+++ b/quota/orphan.go
@@ -118,27 +118,33 @@
 		Model:     c.model,
 		UnixMs:    now.UnixMilli(),
 	}
-	prompt, generated, known := m.ask(ctx, c)
-	if known {
-		m.counters.orphan.Inc(1)
-		rec.PromptTokens, rec.GeneratedTokens = uint64(prompt), uint64(generated)
-	} else {
-		m.counters.orphanBound.Inc(1)
-		rec.GeneratedTokens, rec.AtBound = uint64(c.bound), true
-		prompt, generated = 0, c.bound
-	}
+	usage := m.fill(ctx, rec, c.bound)
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	if charge, ok := c.lease.SettleOrphan(c.requestID, prompt+generated); ok {
-		m.holder.record(c.account, c.lease, rec, charge, prompt+generated, now)
+	if charge, ok := c.lease.SettleOrphan(c.requestID, usage); ok {
+		m.holder.record(c.account, c.lease, rec, charge, usage, now)
+	}
+}
+
+// fill completes the record of a request of a lost instance with the usage that an engine reports, else with the bound.
+// It returns the tokens used.
+func (m *Manager) fill(ctx context.Context, rec *api.UsageRecord, bound budget.Tokens) budget.Tokens {
+	prompt, generated, known := m.ask(ctx, rec)
+	if !known {
+		m.counters.orphanBound.Inc(1)
+		rec.GeneratedTokens, rec.AtBound = uint64(bound), true
+		return bound
 	}
+	m.counters.orphan.Inc(1)
+	rec.PromptTokens, rec.GeneratedTokens = uint64(prompt), uint64(generated)
+	return prompt + generated
 }
 
-func (m *Manager) ask(ctx context.Context, c orphanCheck) (prompt, generated budget.Tokens, known bool) {
+func (m *Manager) ask(ctx context.Context, rec *api.UsageRecord) (prompt, generated budget.Tokens, known bool) {
 	if m.cfg.Resolve == nil {
 		return 0, 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return m.cfg.Resolve(ctx, c.requestID, c.model)
+	return m.cfg.Resolve(ctx, rec.RequestId, rec.Model)
 }
--- a/quota/service.go
+++ b/quota/service.go
@@ -117,3 +117,15 @@
 	}
 	return res, nil
 }
+
+// Mirror implements api.DRPCBudgetPeerServer.
+func (s service) Mirror(_ context.Context, req *api.MirrorRequest) (*api.MirrorResponse, error) {
+	if req.Witness != s.m.self {
+		return &api.MirrorResponse{}, nil
+	}
+	kept := s.m.kept.take(req)
+	if !kept {
+		s.m.counters.mirrorFull.Inc(1)
+	}
+	return &api.MirrorResponse{Kept: kept}, nil
+}
