Count requests that were lost together as one failure

Cause: a connection that goes silent loses all requests on it; each cut the limit by half and counted towards ejection, though new connections work. Change: a failure of a request that began before the last counted one is not counted again.

--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -237,11 +237,31 @@
 		})
 	})
 
+	Convey("Requests that are lost together on one connection count once, requests lost one after the other each", t, func() {
+		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
+		lose := func() {
+			var places []admit.Place
+			for p, a := f.acquire(admit.Target{Avoid: []string{"a-e1"}}); a == admit.Chosen; p, a = f.acquire(admit.Target{Avoid: []string{"a-e1"}}) {
+				places = append(places, p)
+			}
+			f.clock.Advance(time.Second)
+			for _, p := range places {
+				f.balancer.Release(p, admit.Result{Failed: true, Silent: true, Total: time.Second})
+			}
+		}
+		lose()
+		So(f.status("a-e0").ConsecutiveFailures, ShouldEqual, silentWeight)
+		So(f.status("a-e0").Limit, ShouldEqual, 4)
+		lose()
+		lose()
+		So(f.status("a-e0").Ejected, ShouldBeTrue)
+	})
+
 	Convey("A recovering endpoint is not tried with a request that may not be repeated", t, func() {
 		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
 		s := f.balancer.table.Load().states["a-e0"]
 		for range 5 {
-			f.balancer.fail(s, false)
+			f.balancer.fail(s, admit.Result{Failed: true})
 		}
 		So(f.status("a-e0").Ejected, ShouldBeTrue)
 		f.clock.Advance(5 * time.Second)
--- a/route/health.go
+++ b/route/health.go
@@ -26,6 +26,8 @@
 // health counts failures in a row and keeps an endpoint that has too many of them out of rotation for a time.
 type health struct {
 	failures atomic.Int64
+	// failedAt is when the last failure was counted, in Unix nanoseconds.
+	failedAt atomic.Int64
 	// until is the end of the ejection in Unix nanoseconds; zero when in rotation.
 	until atomic.Int64
 	// ejections in a row, without an answer between them.
@@ -72,6 +74,16 @@
 	}
 }
 
+// newFailure says whether the failure of a request that began at a time is one more. Requests that were on their way when
+// the last failure was counted may have been lost together, as on one connection that went silent while new ones work.
+func (h *health) newFailure(began, now time.Time) bool {
+	if began.UnixNano() < h.failedAt.Load() {
+		return false
+	}
+	h.failedAt.Store(now.UnixNano())
+	return true
+}
+
 // failed counts a failure and returns how many there were in a row.
 func (h *health) failed(silent bool) int64 {
 	if silent {
--- a/route/learn.go
+++ b/route/learn.go
@@ -15,7 +15,7 @@
 		s.limit.full()
 		s.health.full(b.config.Clock.Now())
 	case r.Failed, r.Silent:
-		b.fail(s, r.Silent)
+		b.fail(s, r)
 	case r.Whole() && r.Total > 0:
 		b.succeed(s, r)
 	}
@@ -31,13 +31,17 @@
 	}
 }
 
-func (b *Balancer) fail(s *state, silent bool) {
+func (b *Balancer) fail(s *state, r admit.Result) {
 	b.meters.failures.Inc(1)
-	if silent {
+	if r.Silent {
 		b.meters.silent.Inc(1)
 	}
+	now := b.config.Clock.Now()
+	if !s.health.newFailure(now.Add(-r.Total), now) {
+		return
+	}
 	s.limit.failed()
-	if s.health.failed(silent) >= int64(b.config.Settings.EjectAfterFailures) {
+	if s.health.failed(r.Silent) >= int64(b.config.Settings.EjectAfterFailures) {
 		b.eject(s)
 	}
 }
