Count the absence of a request's entry instance from its crash on

Cause: absence was counted from the first look at a reservation, and that came when it was orphan_after old, so the bill of a lost request took twice as long. Change: reservations with an attempt of a missing instance are looked at whatever their age.

--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -167,7 +167,7 @@
 		Convey("it is billed at the usage that an engine reports", func() {
 			known = true
 			f.kill(entry)
-			f.steps(90 * time.Second)
+			f.steps(55 * time.Second)
 			So(f.ledger().Leases[0].Settled, ShouldEqual, 30)
 		})
 		Convey("it is billed at its bound when no engine knows", func() {
--- a/quota/orphan.go
+++ b/quota/orphan.go
@@ -24,7 +24,7 @@
 func (m *Manager) resolveOrphans(ctx context.Context) {
 	live := m.liveIncarnations()
 	asked := make(map[string][]*api.OpenItem)
-	checks := m.oldReservations()
+	checks := m.doubtfulReservations(live)
 	for _, c := range checks {
 		for _, t := range c.attempts {
 			if live[t.Incarnation] {
@@ -38,7 +38,9 @@
 	}
 }
 
-func (m *Manager) oldReservations() []orphanCheck {
+// doubtfulReservations returns the reservations open for long, and those with an attempt of a missing instance, so that
+// its absence is counted from now on.
+func (m *Manager) doubtfulReservations(live map[string]bool) []orphanCheck {
 	now := m.cfg.Clock.Now()
 	before := now.Add(-m.cfg.orphanAfter()).UnixMilli()
 	var out []orphanCheck
@@ -48,7 +50,7 @@
 		defer a.mu.Unlock()
 		for _, l := range a.leases() {
 			l.Reservations(func(id string, r *budget.Reservation) {
-				if r.SinceMs <= before {
+				if r.SinceMs <= before || anyMissing(r.Attempts, live) {
 					attempts := append([]budget.Attempt(nil), r.Attempts...)
 					out = append(out, orphanCheck{a, l, id, r.Model, r.Bound, attempts})
 				}
@@ -59,6 +61,15 @@
 	return out
 }
 
+func anyMissing(attempts []budget.Attempt, live map[string]bool) bool {
+	for _, t := range attempts {
+		if !live[t.Incarnation] {
+			return true
+		}
+	}
+	return false
+}
+
 // askOpen returns the attempts that their live entry instances do not know.
 func (m *Manager) askOpen(asked map[string][]*api.OpenItem) map[budget.Attempt]bool {
 	unknown := make(map[budget.Attempt]bool)
