--- a/server/random_test.go
+++ b/server/random_test.go
@@ -22,10 +22,15 @@
 	stream bool
 	key    string
 	prompt string
-	got    reply
+	// raw replaces the body that the fields above make.
+	raw string
+	got reply
 }
 
 func (a *attempt) body() string {
+	if a.raw != "" {
+		return a.raw
+	}
 	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, a.model, a.stream, a.prompt)
 }
 
