--- a/server/keys_test.go
+++ b/server/keys_test.go
@@ -91,6 +91,8 @@
 		Convey("a refused one can be asked again", func() {
 			r.keeper.outcome = quota.OutOfReach
 			So(problemOf(r.chat("dose", false, "Idempotency-Key", "d")).RetryAfterMs, ShouldBeGreaterThanOrEqualTo, 3000)
+			// The refusal goes out before the key is given back.
+			until(func() bool { return r.server.InProgress() == 0 })
 			r.keeper.outcome = 0
 			So(textOf(r.chat("dose", false, "Idempotency-Key", "d")), ShouldEqual, expected("dose"))
 		})
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -204,6 +204,8 @@
 			So(p.Outcome, ShouldEqual, outcomeNotRun)
 			So(p.RetryAfterMs, ShouldBeGreaterThan, 0)
 			So(r.runs(), ShouldBeEmpty)
+			// The refusal goes out before the reservation is given back.
+			until(func() bool { return len(r.keeper.bills()) == 1 })
 			So(r.keeper.bills()[0].Ran, ShouldBeFalse)
 		})
 		Convey("a request that an engine rejects is not sent elsewhere, and its caller is told why", func() {
