--- a/peer/table.go
+++ b/peer/table.go
@@ -141,15 +141,20 @@
 	return true
 }
 
-// suspect records another instance's word that heartbeats of one are missing. It returns true if that is news.
+// suspect records another instance's word that heartbeats of one are missing, so that this instance looks for itself.
+// It returns true if that is news to be passed on: what this instance heard later than the other is not, but may yet be the
+// last before a crash.
 func (t *table) suspect(now time.Time, id instance.Incarnation, silent time.Duration) bool {
 	m := t.members[id]
-	since := now.Add(-silent)
-	if m == nil || m.gone || !m.silentSince.IsZero() || m.lastHeard.After(since) {
+	if m == nil || m.gone || !m.silentSince.IsZero() {
 		return false
 	}
-	m.silentSince = since
 	m.missed = false
+	m.silentSince = now.Add(-silent)
+	if m.lastHeard.After(m.silentSince) {
+		m.silentSince = m.lastHeard
+		return false
+	}
 	t.news.push(suspicion(m, now), len(t.members))
 	return true
 }
--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -102,6 +102,19 @@
 	}
 }
 
+func TestSuspicionAfterTheLastHeartbeat(t *testing.T) {
+	Convey("An instance that heard one later than the others looks for itself, and passes the suspicion on no further", t, func() {
+		now := time.Unix(1_000_000, 0)
+		table := newTable(tableInstance(0), time.Second)
+		table.heard(now, tableInstance(1), Report{})
+		table.news.items = nil
+		u := &api.MemberUpdate{Suspected: tableInstance(1).GetIncarnation(), SilentMs: 900}
+		So(table.update(now.Add(400*time.Millisecond), u), ShouldBeFalse)
+		So(table.open(), ShouldHaveLength, 1)
+		So(table.news.empty(), ShouldBeTrue)
+	})
+}
+
 func TestPool(t *testing.T) {
 	Convey("A call on a connection on which nothing comes back ends when the connection is discarded", t, func() {
 		here, there := net.Pipe()
