Make the admission of stated keys a setting

Cause: callers were told that stated keys run through an outage, but no operator could choose that policy. Measured: go test ./settings ./idempotency passes; the tests of stated keys choose the policy by the setting.

--- a/idempotency/cut_test.go
+++ b/idempotency/cut_test.go
@@ -134,7 +134,7 @@
 	Convey("Given a stated key and an instance cut off from the platform and the others", t, func() {
 		f := newFleet()
 		Reset(f.stop)
-		stated := func(c *Config) { c.Policy = PolicyStated }
+		stated := func(c *Config) { c.Settings.AdmitStatedKeys = true }
 		a, b, plain := f.start("a", stated), f.start("b", stated), f.start("plain")
 		So(a.Begin(ctx, dose("fixes the layout", "body")).Decision, ShouldEqual, Run)
 		f.objects.SetFaults(standin.Faults{Cut: func(caller string) bool { return caller == "a" }})
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -87,6 +87,9 @@
 // New returns a keeper without claims in memory. Its background work ends with Run.
 func New(cfg Config) *Keeper {
 	self := instance.Incarnation(cfg.Self.GetIncarnation())
+	if cfg.Policy == PolicyIssued && cfg.Settings.GetAdmitStatedKeys() {
+		cfg.Policy = PolicyStated
+	}
 	base, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		cfg:    cfg,
