Read the number of shards once; measure writers that do not agree

Change: one request looks, the others wait for what it finds. A benchmark lets 2 to 24 instances write one shard side by side.

--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -153,3 +153,50 @@
 	b.ReportMetric(float64(waits.list[len(waits.list)*99/100].Microseconds())/1000, "p99-ms")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkConflicts lets instances that see no common first one write a single shard, as in a cut where all reach the
+// platform. Run with -benchtime=1x.
+func BenchmarkConflicts(b *testing.B) {
+	for _, writers := range []int{2, 8, 24} {
+		b.Run(fmt.Sprint("writers=", writers), func(b *testing.B) {
+			for b.Loop() {
+				contend(b, writers)
+			}
+		})
+	}
+}
+
+const claimsPerWriter = 100
+
+func contend(b *testing.B, writers int) {
+	f := newFleet()
+	defer f.stop()
+	f.objects.SetFaults(standin.Faults{Delay: platformDelay})
+	var keepers []*Keeper
+	for n := range writers {
+		k := f.start(fmt.Sprint("i", n), func(c *Config) { c.Settings.Shards = 1; c.Settings.ClaimWait = durationpb.New(testWait) })
+		k.pace = groupsPerSecond
+		f.lose(k, true)
+		keepers = append(keepers, k)
+	}
+	start := time.Now()
+	var work sync.WaitGroup
+	for _, k := range keepers {
+		for n := range claimsPerWriter {
+			work.Go(func() {
+				if k.Begin(context.Background(), dose(fmt.Sprint(k.self, n), "body")).Decision != Run {
+					b.Errorf("not let run")
+				}
+			})
+		}
+	}
+	work.Wait()
+	var conflicts int64
+	for _, k := range keepers {
+		conflicts += retryConflict.Counter(k.cfg.Metrics).Count()
+	}
+	b.ReportMetric(time.Since(start).Seconds(), "s")
+	b.ReportMetric(float64(f.objects.Calls().Writes), "writes")
+	b.ReportMetric(float64(conflicts), "conflicts")
+	b.ReportMetric(0, "ns/op")
+}
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -74,6 +74,8 @@
 	shards map[uint32]*shard
 	routes map[uint32]*batcher
 	layout uint32
+	// layoutRead is held while layout is read from the platform.
+	layoutRead sync.Mutex
 	// downUntil is set while the platform was found out of reach by all ways.
 	downUntil time.Time
 }
--- a/idempotency/route.go
+++ b/idempotency/route.go
@@ -37,7 +37,7 @@
 
 // proposeDurable has a proposal decided by the platform. Proposals of a shard travel in groups.
 func (k *Keeper) proposeDurable(ctx context.Context, p *api.ClaimProposal) (*api.Claim, error) {
-	shards, err := k.shardCount(ctx)
+	shards, err := k.shardCount()
 	if err != nil {
 		return nil, unavailable(err)
 	}
@@ -50,15 +50,22 @@
 }
 
 // shardCount returns how many shards there are, which the first instance ever has fixed.
-func (k *Keeper) shardCount(ctx context.Context) (uint32, error) {
-	k.mu.Lock()
-	known := k.layout
-	k.mu.Unlock()
-	if known != 0 {
+func (k *Keeper) shardCount() (uint32, error) {
+	if known := k.knownShards(); known != 0 {
+		return known, nil
+	}
+	// One request looks; those that wait for it find what it found.
+	k.layoutRead.Lock()
+	defer k.layoutRead.Unlock()
+	if known := k.knownShards(); known != 0 {
 		return known, nil
 	}
-	layout, err := k.fixLayout(ctx)
+	if k.down() {
+		return 0, errDown
+	}
+	layout, err := k.fixLayout(k.base)
 	if err != nil {
+		k.setDown()
 		return 0, err
 	}
 	k.mu.Lock()
@@ -67,6 +74,12 @@
 	return k.layout, nil
 }
 
+func (k *Keeper) knownShards() uint32 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.layout
+}
+
 func (k *Keeper) fixLayout(ctx context.Context) (*api.ClaimLayout, error) {
 	ctx, cancel := k.within(ctx, k.claimWait())
 	defer cancel()
