Let mirrored bills and a holder's own bounds agree with the ledger

A witness billed a mirrored request at its bound though its lease had been closed at less (931 billed, 4 allowed); and a bound that the lease's holder had billed and counted in its ledger no longer raised the figure that another holder had on record. Change: a mirrored bill is at most what is left of the bound that the lease was closed with; a record at the bound raises the figure when the lease's own holder wrote it.

--- a/budget/billing.go
+++ b/budget/billing.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -69,7 +70,7 @@
 	c.Next = s.Sequence + 1
 	for _, r := range s.Records {
 		if r.Customer == b.msg.Customer {
-			b.bill(r)
+			b.bill(r, strings.HasPrefix(r.Lease, s.Incarnation+"/"))
 		}
 	}
 	b.forget()
@@ -87,6 +88,19 @@
 	return c
 }
 
+// Count adds a record that is not in a segment yet.
+func (b *Billing) Count(r *api.UsageRecord) { b.bill(r, false) }
+
+// Recorded returns the tokens that records bill under a lease.
+func (b *Billing) Recorded(budget, lease string) Tokens {
+	for _, l := range BudgetBilling(b.msg, budget).GetLeases() {
+		if l.Lease == lease {
+			return Tokens(l.Total)
+		}
+	}
+	return 0
+}
+
 // Has says whether a request was billed under a lease lately.
 func (b *Billing) Has(requestID, lease string) bool { return b.pairs[keyOf(requestID, lease)] != nil }
 
@@ -99,11 +113,13 @@
 
 // bill counts a record. A request counts once per lease, at the larger figure if the holder billed its bound and its
 // entry instance knew better; under any lease but the first it is refunded.
-func (b *Billing) bill(r *api.UsageRecord) {
+//
+// own says that the lease's holder wrote the record: what it billed is in its ledger, so its bound counts in full.
+func (b *Billing) bill(r *api.UsageRecord, own bool) {
 	k := keyOf(r.RequestId, r.Lease)
 	entry := b.entry(r.Budget)
 	known := b.pairs[k]
-	if known != nil && r.AtBound {
+	if known != nil && r.AtBound && !own {
 		return // A bound says no more than the figure on record.
 	}
 	if known == nil {
--- a/budget/billing_test.go
+++ b/budget/billing_test.go
@@ -46,6 +46,16 @@
 			So(total().Tokens, ShouldEqual, 12)
 			So(total().Refunded, ShouldEqual, 7)
 		})
+		Convey("the bound that the lease's holder billed raises another's figure, as its ledger counts it", func() {
+			own, other := record("r", "i/1", 9), record("r", "i/1", 20)
+			own.AtBound, other.AtBound = true, true
+			b.Fold(segment("j", 0, record("r", "i/1", 3)))
+			b.Fold(segment("k", 0, other))
+			So(total().Tokens, ShouldEqual, 3)
+			b.Fold(segment("i", 0, own))
+			So(total().Tokens, ShouldEqual, 9)
+			So(b.Recorded("b", "i/1"), ShouldEqual, 9)
+		})
 		Convey("records of other customers are left out", func() {
 			other := record("r", "l", 5)
 			other.Customer = "d"
--- a/quota/mirrored.go
+++ b/quota/mirrored.go
@@ -166,12 +166,15 @@
 		Model:     item.Model,
 		UnixMs:    m.cfg.Clock.Now().UnixMilli(),
 	}
-	usage := m.fill(ctx, rec, budget.Tokens(item.BoundTokens))
-	if usage > budget.Tokens(item.BoundTokens) {
+	// The lease was closed at the most that its holder can have spent, so the bill is at most what is left of that.
+	most := min(item.BoundTokens, lease.Bound-min(lease.Bound, uint64(billing.Recorded(item.Budget, item.Lease))))
+	usage := m.fill(ctx, rec, budget.Tokens(most))
+	if usage > budget.Tokens(most) {
 		m.counters.overBound.Inc(1)
-		rec.PromptTokens = min(rec.PromptTokens, item.BoundTokens)
-		rec.GeneratedTokens = item.BoundTokens - rec.PromptTokens
+		rec.PromptTokens = min(rec.PromptTokens, most)
+		rec.GeneratedTokens = most - rec.PromptTokens
 	}
 	m.counters.mirrorBilled.Inc(1)
 	m.segments.add(queued{record: rec})
+	billing.Count(rec)
 }
