Let half of the experiments' callers make their own keys

Cause: all callers asked the fleet for their keys, so that durable claims were met by no experiment, lost-answers among them. Change: half of the keys are the callers' own, but in platform-outage and domain-cut, whose policy own-keys measures them apart.

--- a/internal/bench/experiments.go
+++ b/internal/bench/experiments.go
@@ -63,6 +63,7 @@
 		perSecond:     60,
 		customers:     customers,
 		keyed:         0.5,
+		ownKeys:       0.5,
 		nonIdempotent: 0.5,
 		streamed:      0.5,
 		batch:         0.2,
@@ -71,6 +72,14 @@
 	}
 }
 
+// prepared is steady traffic whose callers all ask the fleet for their keys, as those do who want to be served in a cut
+// from the platform.
+func prepared() load {
+	l := steady()
+	l.ownKeys = 0
+	return l
+}
+
 // burst is what wakes on the hour: three times what the engines can answer before the deadline. The engines are few, so
 // that the instances and callers in this one process are not what runs out.
 func burst() load {
@@ -102,8 +111,8 @@
 func All() []Experiment {
 	return []Experiment{
 		{Name: "hour-burst", Help: "every device asks at the same moment, three times the capacity", Policies: routePolicies, load: burst(), tokens: plenty, faults: only(), set: routePolicy, slots: burstSlots, overload: true},
-		{Name: "platform-outage", Help: "the platform is down, with top-ups before and after, budgets half full", Policies: cutPolicies, load: steady(), tokens: 20_000, faults: only(outage), set: budgetPolicy},
-		{Name: "domain-cut", Help: "one failure domain is cut off from the others and the platform", Policies: cutPolicies, load: steady(), tokens: 40_000, faults: only(domainCut), set: budgetPolicy},
+		{Name: "platform-outage", Help: "the platform is down, with top-ups before and after, budgets half full", Policies: cutPolicies, load: prepared(), tokens: 20_000, faults: only(outage), set: budgetPolicy},
+		{Name: "domain-cut", Help: "one failure domain is cut off from the others and the platform", Policies: cutPolicies, load: prepared(), tokens: 40_000, faults: only(domainCut), set: budgetPolicy},
 		{Name: "lost-answers", Help: "three in ten writes to the platform take effect without an answer", Policies: onePolicy, load: steady(), tokens: 40_000, faults: only(lostAnswers)},
 		{Name: "router-crash", Help: "an instance dies with open streams and callers ask again elsewhere", Policies: budgetPolicies, load: steady(), tokens: 40_000, faults: only(crash), set: budgetPolicy},
 		{Name: "paused-holder", Help: "an instance that holds leases freezes, is treated as gone and wakes up", Policies: budgetPolicies, load: steady(), tokens: 40_000, faults: only(pause), set: budgetPolicy},
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -47,8 +47,8 @@
 	customers []string
 	// keyed is the share of requests with an idempotency key, nonIdempotent the share of those that run at most once.
 	keyed, nonIdempotent float64
-	// ownKeys says that callers make their keys themselves.
-	ownKeys  bool
+	// ownKeys is the share of keys that callers make themselves in place of asking the fleet for them.
+	ownKeys  float64
 	streamed float64
 	batch    float64
 	deadline time.Duration
@@ -65,7 +65,7 @@
 			r.at = time.Duration(float64(i) / l.perSecond * float64(time.Second))
 		}
 		r.ask = l.ask(rng, r.tag, models[rng.IntN(len(models))])
-		r.issued = r.ask.Key != "" && !l.ownKeys
+		r.issued = r.ask.Key != "" && rng.Float64() >= l.ownKeys
 		out = append(out, r)
 	}
 	return out
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -83,7 +83,9 @@
 	ctx, cancel := context.WithTimeout(ctx, runLimit)
 	defer cancel()
 	r := newRun(e, seed, policy)
-	e.load.ownKeys = policy == ownKeys
+	if policy == ownKeys {
+		e.load.ownKeys = 1
+	}
 	c := config(e, seed, policy)
 	f, err := fleet.Start(ctx, c)
 	if err != nil {
