Know the groups of a bundle that has just come in force

Cause: a request could know a bundle before the balancer's table followed it, and was refused as if the group had no endpoint. Change: a group that the table lacks is looked for in the bundle in force. Measured: a test, red before. It was tried as the cause of TestProcesses of cmd/pumiceshelf, which waits in vain for its first run now and then: 1 of 5 runs failed before and 1 of 5 after, so it is not. Conclusion: kept for the case in the test; TestProcesses stays unexplained.

--- a/route/balancer.go
+++ b/route/balancer.go
@@ -77,9 +77,22 @@
 	return b
 }
 
+// group returns a group, or nil. A request may know a bundle that has just come in force before the table follows.
+func (b *Balancer) group(name string) *group {
+	t := b.table.Load()
+	if g := t.groups[name]; g != nil {
+		return g
+	}
+	if snap := b.config.Bundles.Current(); snap == nil || snap.Number == t.number {
+		return nil
+	}
+	b.rebuild()
+	return b.table.Load().groups[name]
+}
+
 // Acquire takes a place at an endpoint of the group.
 func (b *Balancer) Acquire(name string, t admit.Target) (admit.Place, admit.Availability) {
-	g := b.table.Load().groups[name]
+	g := b.group(name)
 	if g == nil {
 		b.meters.gone.Inc(1)
 		return admit.Place{}, admit.Gone
@@ -100,7 +113,7 @@
 
 // Places returns about how many requests of the group this instance may run at once now.
 func (b *Balancer) Places(name string) int {
-	g := b.table.Load().groups[name]
+	g := b.group(name)
 	if g == nil {
 		return 0
 	}
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -61,6 +61,15 @@
 			So(a, ShouldEqual, admit.Gone)
 		})
 
+		Convey("a group of a bundle that has just come in force is known", func() {
+			f := newFixture(testBundle(1, 0, 2), instances(1, "a"), 0, "")
+			_, a := f.acquire(admit.Target{})
+			So(a, ShouldEqual, admit.Gone)
+			f.bundles.set(testBundle(2, 1, 2, "a"))
+			_, a = f.acquire(admit.Target{})
+			So(a, ShouldEqual, admit.Chosen)
+		})
+
 		Convey("a prefix has one home", func() {
 			first, _ := f.acquire(admit.Target{Prefix: 77})
 			f.balancer.Release(first, admit.Result{Total: time.Second})
