Make the fold's interval a setting

Cause: refunds come with the fold, each minute, so an experiment of seconds never sees them. Change: budget.foldInterval, a minute by default; pumicebench sets a second. Ledgers of reclaimed leases are still brought up to date for two minutes.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -143,6 +143,7 @@
 	s.Peer.FailureTimeout = durationpb.New(500 * time.Millisecond)
 	s.Budget.FlushInterval = durationpb.New(200 * time.Millisecond)
 	s.Budget.OrphanAfter = durationpb.New(time.Second)
+	s.Budget.FoldInterval = durationpb.New(time.Second)
 	s.Route.ReportInterval = durationpb.New(200 * time.Millisecond)
 	s.Server.ProgressTimeout = durationpb.New(500 * time.Millisecond)
 	s.Platform.CallTimeout = durationpb.New(500 * time.Millisecond)
--- a/quota/compact.go
+++ b/quota/compact.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,12 +14,8 @@
 const (
 	// billingPrefix starts the keys of customers' billing totals.
 	billingPrefix = "billing/"
-	// compactInterval is the time between two rounds of folding usage segments into totals.
-	compactInterval = time.Minute
 	// compactLimit bounds the segments folded in one round.
 	compactLimit = 5000
-	// syncFor is how long the ledgers of reclaimed leases are brought up to date at each round.
-	syncFor = 2 * compactInterval
 )
 
 // storedSegment is a segment with its version, to delete it by.
--- a/quota/config.go
+++ b/quota/config.go
@@ -92,6 +92,8 @@
 	orphanDivisor = 3
 	// recordKeep is how long settlements are kept for a holder that is missing.
 	recordKeep = time.Hour
+	// syncFor is how long the ledgers of reclaimed leases are brought up to date at each fold.
+	syncFor = 2 * time.Minute
 	// batchLimit bounds the items of one message.
 	batchLimit = 512
 	// writeLimit bounds the ledgers written side by side.
@@ -102,6 +104,7 @@
 func (c Config) settleWait() time.Duration    { return c.Settings.SettleWait.AsDuration() }
 func (c Config) ceilingAhead() time.Duration  { return c.Settings.CeilingAhead.AsDuration() }
 func (c Config) outage() time.Duration        { return c.Settings.OutageToRideOut.AsDuration() }
+func (c Config) foldInterval() time.Duration  { return c.Settings.FoldInterval.AsDuration() }
 func (c Config) orphanAfter() time.Duration   { return c.Settings.OrphanAfter.AsDuration() }
 
 // leaseTime is the demand that a lease is sized for.
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -251,7 +251,7 @@
 	n.every(reclaimInterval, d, n.reclaim)
 	n.every(n.cfg.orphanAfter()/orphanDivisor, d, n.resolveOrphans)
 	n.every(n.cfg.orphanAfter()/orphanDivisor, d, n.billMirrored)
-	n.every(compactInterval, d, n.compact)
+	n.every(n.cfg.foldInterval(), d, n.compact)
 }
 
 // every does some work if one of its times lies in the last d.
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -72,7 +72,7 @@
 	g.Go(func() error { return m.loop(ctx, m.cfg.flushInterval(), nil, m.resend) })
 	g.Go(func() error { return m.loop(ctx, recordInterval*m.cfg.flushInterval(), nil, m.writeRecords) })
 	g.Go(func() error { return m.loop(ctx, reclaimInterval, nil, m.reclaim) })
-	g.Go(func() error { return m.loop(ctx, compactInterval, nil, m.compact) })
+	g.Go(func() error { return m.loop(ctx, m.cfg.foldInterval(), nil, m.compact) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.resolveOrphans) })
 	g.Go(func() error { return m.loop(ctx, m.cfg.orphanAfter()/orphanDivisor, nil, m.billMirrored) })
 	return g.Wait()
--- a/settings/check.go
+++ b/settings/check.go
@@ -212,6 +212,7 @@
 	c.longer("peer.failureTimeout", s.Peer.FailureTimeout, "peer.heartbeatInterval", s.Peer.HeartbeatInterval)
 	c.longer("budget.outageToRideOut", s.Budget.OutageToRideOut, "budget.ceilingAhead", s.Budget.CeilingAhead)
 	c.longer("budget.orphanAfter", s.Budget.OrphanAfter, "budget.flushInterval", s.Budget.FlushInterval)
+	c.longer("budget.foldInterval", s.Budget.FoldInterval, "budget.flushInterval", s.Budget.FlushInterval)
 	c.longer("claim.retention", s.Claim.Retention, "claim.claimWait", s.Claim.ClaimWait)
 	c.Require(s.Admission.QueueBytes >= s.Server.BodyLimitBytes, "admission.queueBytes", s.Admission.QueueBytes,
 		fmt.Sprintf("at least server.bodyLimitBytes, %d", s.Server.BodyLimitBytes))
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -19,6 +19,7 @@
 			SettleWait:      durationpb.New(2 * time.Second),
 			FlushInterval:   durationpb.New(time.Second),
 			OrphanAfter:     durationpb.New(30 * time.Second),
+			FoldInterval:    durationpb.New(time.Minute),
 		},
 		Claim: &api.ClaimSettings{
 			Shards:           16,
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -73,6 +73,7 @@
 	{`"outageToRideOut": "1200s"`, `"outageToRideOut": "1s"`, "budget.outageToRideOut", "1s"},
 	{`"outageToRideOut": "1200s"`, `"outageToRideOut": "99999999s"`, "budget.outageToRideOut", "27777h46m39s"},
 	{`"settleWait": "2s"`, `"flushInterval": "31s"`, "budget.orphanAfter", "30s"},
+	{`"settleWait": "2s"`, `"foldInterval": "1s"`, "budget.foldInterval", "1s"},
 	{`"settleWait": "2s"`, `"ceilingAhead": "-1s"`, "budget.ceilingAhead", "-1s"},
 	{"", `"claim": {"shards": 2000}`, "claim.shards", "2000"},
 	{"", `"claim": {"retention": "1s"}`, "claim.retention", "1s"},
