Charge a request once for all its runs

Cause: each run of a keyed idempotent request has an id of its own, so that a caller who asked again after a crash was billed for the lost run and for the answer; records were refunded only under one id.

Change: the fold knows the request that a run belongs to. It charges the largest usage on record of any run, a bound only if no usage is on record, and refunds the rest. Refunds still only grow.

--- a/budget/billing.go
+++ b/budget/billing.go
@@ -22,13 +22,38 @@
 // Billing folds usage segments into a customer's totals, each request once. It is not safe for concurrent use.
 type Billing struct {
 	msg *api.CustomerBilling
-	// first is the lease that a request was first billed under; pairs holds each request and lease.
-	first map[requestKey]uint64
-	pairs map[billedKey]*api.BilledRequest
-	// Refunds counts the records of this value that billed a request again under another lease.
+	// charges says what each request is charged, by origin; pairs holds each run and lease.
+	charges map[uint64]charge
+	pairs   map[billedKey]*api.BilledRequest
+	// Refunds counts the records of this value that billed a request again.
 	Refunds int
 }
 
+// charge of a request: the largest usage on record of any of its runs under any lease, or the largest bound if no usage
+// is on record.
+type charge struct {
+	usage, bound uint64
+}
+
+func (c charge) with(r *api.BilledRequest) charge {
+	if r.AtBound {
+		c.bound = max(c.bound, r.Tokens)
+	} else {
+		c.usage = max(c.usage, r.Tokens)
+	}
+	return c
+}
+
+func (c charge) tokens() uint64 {
+	if c.usage > 0 {
+		return c.usage
+	}
+	return c.bound
+}
+
+// runSeparator stands in the ids of runs behind the id of their request.
+const runSeparator = "."
+
 type requestKey [16]byte
 
 type billedKey struct {
@@ -38,7 +63,7 @@
 
 // OpenBilling starts from a customer's totals, nil for none yet. The message given is not changed.
 func OpenBilling(customer string, msg *api.CustomerBilling) *Billing {
-	b := &Billing{msg: &api.CustomerBilling{Customer: customer}, first: make(map[requestKey]uint64), pairs: make(map[billedKey]*api.BilledRequest)}
+	b := &Billing{msg: &api.CustomerBilling{Customer: customer}, charges: make(map[uint64]charge), pairs: make(map[billedKey]*api.BilledRequest)}
 	if msg != nil {
 		b.msg = proto.Clone(msg).(*api.CustomerBilling)
 	}
@@ -52,9 +77,7 @@
 
 func (b *Billing) remember(k billedKey, r *api.BilledRequest) {
 	b.pairs[k] = r
-	if _, ok := b.first[k.request]; !ok {
-		b.first[k.request] = k.lease
-	}
+	b.charges[r.Origin] = b.charges[r.Origin].with(r)
 }
 
 // Message returns the totals. The caller must not change them.
@@ -111,8 +134,16 @@
 	return k
 }
 
-// bill counts a record. A request counts once per lease, at the larger figure if the holder billed its bound and its
-// entry instance knew better; under any lease but the first it is refunded.
+// originOf names the request that a run belongs to. The runs of a request have ids that begin with the request's.
+func originOf(runID string) uint64 {
+	request, _, _ := strings.Cut(runID, runSeparator)
+	sum := sha256.Sum256([]byte(request))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+// bill counts a record. A run counts once per lease, at the larger figure if the holder billed its bound and its entry
+// instance knew better. Of all runs and leases of a request one figure is charged, the rest is refunded: a caller that
+// asks again after a crash pays for its answer alone. Refunds only grow.
 //
 // own says that the lease's holder wrote the record: what it billed is in its ledger, so its bound counts in full.
 func (b *Billing) bill(r *api.UsageRecord, own bool) {
@@ -123,7 +154,7 @@
 		return // A bound says no more than the figure on record.
 	}
 	if known == nil {
-		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs}
+		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs, Origin: originOf(r.RequestId), AtBound: r.AtBound}
 		b.msg.Billed = append(b.msg.Billed, known)
 		b.remember(k, known)
 		entry.Records++
@@ -136,8 +167,11 @@
 	known.Tokens += more
 	entry.Tokens += more
 	b.addLease(entry, r.Lease, more)
-	if b.first[k.request] != k.lease {
-		entry.Refunded += more
+	old := b.charges[known.Origin]
+	now := old.with(known)
+	b.charges[known.Origin] = now
+	if refund := more + old.tokens() - now.tokens(); refund > 0 {
+		entry.Refunded += refund
 		b.Refunds++
 	}
 }
