--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,33 @@
+package bench
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fleetsAtOnce bounds the experiments that run side by side.
+const fleetsAtOnce = 4
+
+// TestExperiments runs every experiment with fixed seeds. It asserts promises only, none of which is about time.
+func TestExperiments(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts fleets")
+	}
+	turn := make(chan struct{}, fleetsAtOnce)
+	for _, e := range All() {
+		for _, policy := range e.Policies {
+			t.Run(e.Name+"/"+policy, func(t *testing.T) {
+				t.Parallel()
+				turn <- struct{}{}
+				defer func() { <-turn }()
+				Convey("All promises hold in "+e.Name+" "+policy, t, func() {
+					r, err := Do(context.Background(), e, 1, policy)
+					So(err, ShouldBeNil)
+					So(r.Err(), ShouldBeNil)
+				})
+			})
+		}
+	}
+}
--- a/internal/bench/bills.go
+++ b/internal/bench/bills.go
@@ -49,7 +49,7 @@
 
 func (r *Run) readBills(ctx context.Context, runs map[string][]standin.Run) bills {
 	b := bills{records: r.readRecords()}
-	refunded := uint64(0)
+	due := b.due()
 	for _, c := range customers {
 		l := r.readLedger(ctx, c)
 		if l == nil {
@@ -59,13 +59,14 @@
 		for _, lease := range l.Leases {
 			spent += lease.Settled
 		}
-		refunded += l.Refunded
 		b.parked += r.parked(l)
 		if spent > l.Granted {
 			b.over += spent - l.Granted
 		}
+		if spent > due[c] {
+			b.doubled += b.repeated(c)
+		}
 	}
-	b.countDoubles(refunded)
 	for _, list := range runs {
 		for _, run := range list {
 			if len(b.records[run.RequestID]) == 0 {
@@ -76,25 +77,60 @@
 	return b
 }
 
-// countDoubles counts the requests billed more than once, unless all that was billed too much is refunded.
-func (b *bills) countDoubles(refunded uint64) {
-	surplus := uint64(0)
-	for _, list := range b.records {
-		if len(list) < 2 {
-			continue
+// requestOf returns the id that all runs of a request share.
+func requestOf(runID string) string {
+	id, _, _ := strings.Cut(runID, ".")
+	return id
+}
+
+// due returns what each customer owes when every request is billed once: the largest usage on record of its runs, or the
+// largest bound when no usage is on record.
+func (b *bills) due() map[string]uint64 {
+	type charge struct {
+		customer     string
+		usage, bound uint64
+	}
+	charges := make(map[string]charge)
+	for id, list := range b.records {
+		c := charges[requestOf(id)]
+		for _, record := range list {
+			c.customer = record.Customer
+			if tokens := record.PromptTokens + record.GeneratedTokens; record.AtBound {
+				c.bound = max(c.bound, tokens)
+			} else {
+				c.usage = max(c.usage, tokens)
+			}
 		}
-		b.doubled++
-		total, most := uint64(0), uint64(0)
+		charges[requestOf(id)] = c
+	}
+	due := make(map[string]uint64)
+	for _, c := range charges {
+		if c.usage == 0 {
+			c.usage = c.bound
+		}
+		due[c.customer] += c.usage
+	}
+	return due
+}
+
+// repeated counts the customer's requests with more than one record; one of them at least is billed twice when the ledger
+// holds more than is due.
+func (b *bills) repeated(customer string) int {
+	records := make(map[string]int)
+	for id, list := range b.records {
 		for _, record := range list {
-			tokens := record.PromptTokens + record.GeneratedTokens
-			total += tokens
-			most = max(most, tokens)
+			if record.Customer == customer {
+				records[requestOf(id)]++
+			}
 		}
-		surplus += total - most
 	}
-	if surplus <= refunded {
-		b.doubled = 0
+	count := 0
+	for _, n := range records {
+		if n > 1 {
+			count++
+		}
 	}
+	return max(count, 1)
 }
 
 // parked returns the tokens of a budget that no live instance can spend.
