Charge a run its usage when its bound was billed before; wait longer for mirrors

Change: a run's record keeps the largest usage apart from the figure counted under its lease, and the difference is refunded. A grant waits up to 200 ms for a witness; one that is silent is passed over for 2 s, so the wait is rare.

Measured: the new test fails without the usage kept apart.

--- a/budget/billing.go
+++ b/budget/billing.go
@@ -36,11 +36,8 @@
 }
 
 func (c charge) with(r *api.BilledRequest) charge {
-	if r.AtBound {
-		c.bound = max(c.bound, r.Tokens)
-	} else {
-		c.usage = max(c.usage, r.Tokens)
-	}
+	c.usage = max(c.usage, r.Usage)
+	c.bound = max(c.bound, r.Tokens)
 	return c
 }
 
@@ -143,7 +140,8 @@
 
 // bill counts a record. A run counts once per lease, at the larger figure if the holder billed its bound and its entry
 // instance knew better. Of all runs and leases of a request one figure is charged, the rest is refunded: a caller that
-// asks again after a crash pays for its answer alone. Refunds only grow.
+// asks again after a crash pays for its answer alone. Refunds only grow, so a usage that becomes known after a smaller one
+// was charged for another run's bound is not charged in full.
 //
 // own says that the lease's holder wrote the record: what it billed is in its ledger, so its bound counts in full.
 func (b *Billing) bill(r *api.UsageRecord, own bool) {
@@ -154,7 +152,7 @@
 		return // A bound says no more than the figure on record.
 	}
 	if known == nil {
-		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs, Origin: originOf(r.RequestId), AtBound: r.AtBound}
+		known = &api.BilledRequest{Request: k.request[:], Lease: k.lease, UnixMs: r.UnixMs, Origin: originOf(r.RequestId)}
 		b.msg.Billed = append(b.msg.Billed, known)
 		b.remember(k, known)
 		entry.Records++
@@ -165,13 +163,16 @@
 	tokens := r.PromptTokens + r.GeneratedTokens
 	more := tokens - min(tokens, known.Tokens)
 	known.Tokens += more
+	if !r.AtBound {
+		known.Usage = max(known.Usage, tokens)
+	}
 	entry.Tokens += more
 	b.addLease(entry, r.Lease, more)
 	old := b.charges[known.Origin]
 	now := old.with(known)
 	b.charges[known.Origin] = now
-	if refund := more + old.tokens() - now.tokens(); refund > 0 {
-		entry.Refunded += refund
+	if counted, due := more+old.tokens(), now.tokens(); counted > due {
+		entry.Refunded += counted - due
 		b.Refunds++
 	}
 }
--- a/budget/billing_test.go
+++ b/budget/billing_test.go
@@ -54,6 +54,15 @@
 			So(total().Tokens, ShouldEqual, 98)
 			So(total().Tokens-total().Refunded, ShouldEqual, 47+1)
 		})
+		Convey("a run that another billed at its bound is charged its usage once the holder that was only cut off tells it", func() {
+			bound := record("r.x", "i/1", 100)
+			bound.AtBound = true
+			b.Fold(segment("witness", 0, bound))
+			b = budget.OpenBilling("c", b.Message())
+			b.Fold(segment("i", 0, record("r.x", "i/1", 47)))
+			So(b.Recorded("b", "i/1"), ShouldEqual, 100)
+			So(total().Tokens-total().Refunded, ShouldEqual, 47)
+		})
 		Convey("a run billed at its bound is refunded when another run's usage is on record, in either order", func() {
 			bound := record("r.x", "l1", 100)
 			bound.AtBound = true
--- a/quota/mirror.go
+++ b/quota/mirror.go
@@ -10,7 +10,7 @@
 
 const (
 	// mirrorWait is the longest time that a grant waits for one witness to keep the request.
-	mirrorWait = 20 * time.Millisecond
+	mirrorWait = 200 * time.Millisecond
 	// mirrorAvoid is how long a witness that did not answer in time is passed over.
 	mirrorAvoid = 2 * time.Second
 	// mirrorLimit bounds the requests that an instance keeps for all holders together.
