--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -101,7 +101,7 @@
 func loadTable(ctx context.Context, out io.Writer) error {
 	fmt.Fprintln(out, "load on six instances: platform calls a second, control bytes a request, CPU a request with stand-ins and callers")
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "requests/s	answered	writes/s	reads/s	bytes/request	cpu us/request\t")
+	fmt.Fprintln(w, "requests/s\tanswered\twrites/s\treads/s\tpeer bytes/request\tplatform bytes/request\tcpu us/request\t")
 	for _, rate := range []float64{25, 50, 100, 200, 400} {
 		if err := loadRow(ctx, w, rate); err != nil {
 			return err
