--- a/node/build.go
+++ b/node/build.go
@@ -241,7 +241,6 @@
 	p.server = server.New(server.Config{
 		Settings:  c.Settings.Server,
 		Admission: c.Settings.Admission,
-		Self:      n.self,
 		Clock:     c.Clock,
 		Log:       c.Log,
 		Metrics:   c.Metrics,
@@ -253,7 +252,6 @@
 		Endpoints: p.endpoints,
 		Retries:   route.NewRetryBudget(c.Settings.Route.RetryPercent, c.Metrics),
 		Stories:   p.stories,
-		Repairs:   p.repairs,
 	})
 	return nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -19,7 +19,6 @@
 	"pumiceshelf/invariant"
 	"pumiceshelf/quota"
 	"pumiceshelf/story"
-	"pumiceshelf/telemetry"
 )
 
 // Bounds of callers' HTTP.
@@ -53,7 +52,6 @@
 type Config struct {
 	Settings  *api.ServerSettings
 	Admission *api.AdmissionSettings
-	Self      *api.Instance
 	Clock     clockwork.Clock
 	Log       log.Interface
 	Metrics   metrics.Registry
@@ -66,7 +64,6 @@
 	Endpoints endpoint.Client
 	Retries   Retries
 	Stories   *story.Book
-	Repairs   *telemetry.Repairs
 }
 
 // Server answers callers. It is safe for concurrent use.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -51,7 +51,7 @@
 			DrainTimeout:    durationpb.New(60 * time.Second),
 			RequestLimit:    4096,
 		},
-		Platform: &api.PlatformSettings{CallsPerSecond: 20, CallTimeout: durationpb.New(2 * time.Second)},
+		Platform: &api.PlatformSettings{CallsPerSecond: 50, CallTimeout: durationpb.New(2 * time.Second)},
 		Bundle:   &api.BundleSettings{PollInterval: durationpb.New(30 * time.Second)},
 	}
 }
