Test the second SIGTERM and TLS on both sides of whole instances

Change: a process with a request that no engine answers gets SIGTERM twice; a fleet serves callers by TLS with the holder of the budget behind mutual TLS; a caller or peer without the authority's certificate gets nothing.

--- a/cmd/pumiceshelf/process_test.go
+++ b/cmd/pumiceshelf/process_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +18,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/internal/fleet"
+	"pumiceshelf/internal/standin"
 )
 
 // daemonVariable makes the test binary run the daemon's main instead of the tests.
@@ -36,6 +39,9 @@
 type daemon struct {
 	command *exec.Cmd
 	address string
+	// said is what the process wrote to its standard error; read is closed when it is complete.
+	said strings.Builder
+	read chan struct{}
 }
 
 func startDaemon(f *fleet.Fleet, folder, name, domain string, ports []string) (*daemon, error) {
@@ -52,19 +58,26 @@
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
-	go func() {
-		lines := bufio.NewScanner(stderr)
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), "invariant") {
-				fmt.Fprintln(os.Stderr, name, lines.Text())
-			}
+	d := &daemon{command: c, address: ports[0], read: make(chan struct{})}
+	go d.readErrors(name, stderr)
+	return d, nil
+}
+
+// readErrors keeps what the process says and shows broken invariants.
+func (d *daemon) readErrors(name string, stderr io.Reader) {
+	defer close(d.read)
+	lines := bufio.NewScanner(stderr)
+	for lines.Scan() {
+		d.said.WriteString(lines.Text() + "\n")
+		if strings.Contains(lines.Text(), "invariant") {
+			fmt.Fprintln(os.Stderr, name, lines.Text())
 		}
-	}()
-	return &daemon{command: c, address: ports[0]}, nil
+	}
 }
 
 // end waits for the process and returns its exit code.
 func (d *daemon) end() int {
+	<-d.read
 	d.command.Wait()
 	return d.command.ProcessState.ExitCode()
 }
@@ -133,6 +146,20 @@
 			So(reply.Partial, ShouldBeFalse)
 			So(daemons[2].end(), ShouldEqual, 0)
 		})
+		Convey("a second SIGTERM ends the drain and says what is dropped", func() {
+			for _, e := range f.Engines {
+				e.SetFaults(standin.EngineFaults{Delay: processLimit})
+			}
+			open := make(chan fleet.Reply, 1)
+			go func() { open <- caller.Send(ctx, daemons[5].address, ask("dropped")) }()
+			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of dropped") == 1 }), ShouldBeNil)
+			daemons[5].signal(syscall.SIGTERM)
+			So(fleet.Until(ctx, func() bool { return refuses(ctx, caller, daemons[5].address) }), ShouldBeNil)
+			daemons[5].signal(syscall.SIGTERM)
+			So(daemons[5].end(), ShouldEqual, 1)
+			So(daemons[5].said.String(), ShouldContainSubstring, "1 requests dropped")
+			So((<-open).Outcome, ShouldNotEqual, fleet.Answered)
+		})
 	})
 }
 
@@ -162,3 +189,17 @@
 		return r.Outcome == fleet.Answered
 	})
 }
+
+// refuses says whether an instance tells balancers that it takes no requests.
+func refuses(ctx context.Context, caller *fleet.Caller, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := caller.Client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/node/tls_test.go
@@ -0,0 +1,80 @@
+package node_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/api"
+	"pumiceshelf/internal/fleet"
+	"pumiceshelf/internal/standin"
+)
+
+func TestTLS(t *testing.T) {
+	Convey("Given a fleet with TLS for callers and mutual TLS between instances", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		Reset(cancel)
+		authority, err := standin.NewAuthority("fleet")
+		So(err, ShouldBeNil)
+		files, err := authority.WriteFiles(t.TempDir(), "instance")
+		So(err, ShouldBeNil)
+		c := fleet.Deployment(fleet.AlWusta)
+		c.Customers = []fleet.Customer{{ID: "farm", Tokens: 1_000_000}}
+		c.Adjust = func(s *api.Settings) { s.CallerTls, s.PeerTls = files, files }
+		f, err := fleet.Start(ctx, c)
+		So(err, ShouldBeNil)
+		Reset(f.Close)
+		roots := x509.NewCertPool()
+		pem, err := os.ReadFile(files.AuthorityFile)
+		So(err, ShouldBeNil)
+		So(roots.AppendCertsFromPEM(pem), ShouldBeTrue)
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
+		address := f.Members()[0].Node.CallerAddress()
+
+		Convey("a caller that trusts the authority is answered, by way of the holder at another instance", func() {
+			for _, m := range f.Members() {
+				status, err := ask(ctx, client, "https://"+m.Node.CallerAddress())
+				So(err, ShouldBeNil)
+				So(status, ShouldEqual, http.StatusOK)
+			}
+			So(f.RunsOf("Plot 1"), ShouldEqual, len(f.Members()))
+		})
+		Convey("a caller that does not trust it, and one without TLS, get nothing", func() {
+			_, err := ask(ctx, &http.Client{}, "https://"+address)
+			So(err, ShouldNotBeNil)
+			status, err := ask(ctx, &http.Client{}, "http://"+address)
+			So(err != nil || status == http.StatusBadRequest, ShouldBeTrue)
+			So(f.RunsOf("Plot 1"), ShouldEqual, 0)
+		})
+		Convey("a peer without a certificate of the authority is refused", func() {
+			conn, err := tls.Dial("tcp", f.Members()[0].Node.Self().PeerAddress, &tls.Config{RootCAs: roots})
+			if err == nil {
+				_, err = conn.Read(make([]byte, 1))
+			}
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "certificate")
+		})
+	})
+}
+
+// ask sends a model request and returns the status of the answer.
+func ask(ctx context.Context, client *http.Client, url string) (int, error) {
+	body := strings.NewReader(string(fleet.Ask{Model: fleet.DoseModel, Prompt: "Plot 1"}.Body()))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", body)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.Key("farm"))
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, nil
+}
