Let the tests of processes ask again as callers do, and kill while engines hold their answers

Cause: a refusal as not run at a loaded start left the test waiting for a run until its limit (seen by two in ten runs on a busy machine), and an answer could come before the kill. Change: a request told not run is asked again with its key; engines hold their answers until the kill. No assertion is changed.

--- a/cmd/pumiceshelf/process_test.go
+++ b/cmd/pumiceshelf/process_test.go
@@ -114,20 +114,33 @@
 			return fleet.Ask{Customer: "farm", Model: fleet.DoseModel, Prompt: "Plot of " + key, Key: key, Deadline: 20 * time.Second}
 		}
 
+		// start sends a request that runs at most once and returns when an engine runs it. A refusal as not run is asked
+		// again, as callers do.
+		start := func(at *daemon, key string) <-chan fleet.Reply {
+			open := make(chan fleet.Reply, 1)
+			go func() {
+				r := caller.Send(ctx, at.address, ask(key))
+				for r.Outcome == fleet.NotRun && ctx.Err() == nil {
+					r = caller.Send(ctx, at.address, ask(key))
+				}
+				open <- r
+			}()
+			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of "+key) == 1 }), ShouldBeNil)
+			return open
+		}
+
 		Convey("a killed instance's request never runs twice, and its key is told unknown", func() {
-			lost := make(chan fleet.Reply, 1)
-			go func() { lost <- caller.Send(ctx, daemons[0].address, ask("killed")) }()
-			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of killed") == 1 }), ShouldBeNil)
+			hold(f, processLimit)
+			lost := start(daemons[0], "killed")
 			daemons[0].signal(syscall.SIGKILL)
 			So((<-lost).Outcome, ShouldEqual, fleet.Broken)
+			hold(f, 0)
 			again := caller.Send(ctx, daemons[3].address, ask("killed"))
 			So(again.Outcome, ShouldBeIn, fleet.Unknown, fleet.Answered)
 			So(f.RunsOf("Plot of killed"), ShouldEqual, 1)
 		})
 		Convey("a frozen instance's request never runs twice after it wakes", func() {
-			frozen := make(chan fleet.Reply, 1)
-			go func() { frozen <- caller.Send(ctx, daemons[1].address, ask("frozen")) }()
-			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of frozen") == 1 }), ShouldBeNil)
+			frozen := start(daemons[1], "frozen")
 			daemons[1].signal(syscall.SIGSTOP)
 			again := caller.Send(ctx, daemons[4].address, ask("frozen"))
 			daemons[1].signal(syscall.SIGCONT)
@@ -137,9 +150,7 @@
 			So(f.RunsOf("Plot of frozen"), ShouldEqual, 1)
 		})
 		Convey("SIGTERM finishes what is in progress and exits with success", func() {
-			open := make(chan fleet.Reply, 1)
-			go func() { open <- caller.Send(ctx, daemons[2].address, ask("drained")) }()
-			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of drained") == 1 }), ShouldBeNil)
+			open := start(daemons[2], "drained")
 			daemons[2].signal(syscall.SIGTERM)
 			reply := <-open
 			So(reply.Outcome, ShouldEqual, fleet.Answered)
@@ -147,12 +158,8 @@
 			So(daemons[2].end(), ShouldEqual, 0)
 		})
 		Convey("a second SIGTERM ends the drain and says what is dropped", func() {
-			for _, e := range f.Engines {
-				e.SetFaults(standin.EngineFaults{Delay: processLimit})
-			}
-			open := make(chan fleet.Reply, 1)
-			go func() { open <- caller.Send(ctx, daemons[5].address, ask("dropped")) }()
-			So(fleet.Until(ctx, func() bool { return f.RunsOf("Plot of dropped") == 1 }), ShouldBeNil)
+			hold(f, processLimit)
+			open := start(daemons[5], "dropped")
 			daemons[5].signal(syscall.SIGTERM)
 			So(fleet.Until(ctx, func() bool { return refuses(ctx, caller, daemons[5].address) }), ShouldBeNil)
 			daemons[5].signal(syscall.SIGTERM)
@@ -182,6 +189,13 @@
 	return daemons
 }
 
+// hold lets all engines run requests that come from now on and answer them after a delay.
+func hold(f *fleet.Fleet, delay time.Duration) {
+	for _, e := range f.Engines {
+		e.SetFaults(standin.EngineFaults{Delay: delay})
+	}
+}
+
 // ready waits until an instance answers a request.
 func ready(ctx context.Context, caller *fleet.Caller, address string) error {
 	return fleet.Until(ctx, func() bool {
