Run the subcommands of two programs by one piece of code

Cause: reading again, pumiceshelf and pumicebench held the same code for parsing and exit codes, and the fleet on loopback had a log level and a look-up of domains that nobody used.

Change: internal/command runs subcommands; the unused parts are gone.

--- a/cmd/pumicebench/main.go
+++ b/cmd/pumicebench/main.go
@@ -11,9 +11,8 @@
 	"strings"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"pumiceshelf/internal/bench"
+	"pumiceshelf/internal/command"
 )
 
 type listCommand struct{}
@@ -42,25 +41,13 @@
 }
 
 func main() {
-	parser := flags.NewNamedParser("pumicebench", flags.Default)
-	must(parser.AddCommand("list", "List the experiments", "Prints each experiment with its policies.", &listCommand{}))
-	must(parser.AddCommand("run", "Run one experiment", "Prints one JSON object as the last line; fails if a promise broke.", &runCommand{}))
-	must(parser.AddCommand("compare", "Compare policies", "Runs every policy over the seeds; prints median/worst of each figure.", &compareCommand{}))
-	must(parser.AddCommand("capacity", "Measure slopes", "Measures what grows with instances, customers and budgets, for docs/CAPACITY.md.", &capacityCommand{}))
-	must(parser.AddCommand("soak", "Run two-faults on and on", "Runs rounds of random faults on both deployments and sums them up.", &soakCommand{}))
-	if _, err := parser.Parse(); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(1)
-	}
-}
-
-func must(_ *flags.Command, err error) {
-	if err != nil {
-		panic(err)
-	}
+	command.Main("pumicebench", []command.Command{
+		{Name: "list", Short: "List the experiments", Long: "Prints each experiment with its policies.", Data: &listCommand{}},
+		{Name: "run", Short: "Run one experiment", Long: "Prints one JSON object as the last line; fails if a promise broke.", Data: &runCommand{}},
+		{Name: "compare", Short: "Compare policies", Long: "Runs every policy over the seeds; prints median/worst of each figure.", Data: &compareCommand{}},
+		{Name: "capacity", Short: "Measure slopes", Long: "Measures what grows with instances, customers and budgets, for docs/CAPACITY.md.", Data: &capacityCommand{}},
+		{Name: "soak", Short: "Run two-faults on and on", Long: "Runs rounds of random faults on both deployments and sums them up.", Data: &soakCommand{}},
+	})
 }
 
 func signals() (context.Context, context.CancelFunc) {
--- a/cmd/pumiceshelf/main.go
+++ b/cmd/pumiceshelf/main.go
@@ -12,9 +12,9 @@
 	"github.com/apex/log"
 	logjson "github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/text"
-	"github.com/jessevdk/go-flags"
 
 	"pumiceshelf/api"
+	"pumiceshelf/internal/command"
 	"pumiceshelf/internal/demo"
 	"pumiceshelf/node"
 	"pumiceshelf/settings"
@@ -33,23 +33,11 @@
 }
 
 func main() {
-	parser := flags.NewNamedParser("pumiceshelf", flags.Default)
-	must(parser.AddCommand("run", "Run one instance", "Runs one instance of the fleet until SIGTERM has drained it.", &runCommand{}))
-	must(parser.AddCommand("check", "Check a settings file", "Names each wrong field by its path, what it has and what it must be.", &checkCommand{}))
-	must(parser.AddCommand("demo", "Run everything in one process", "Starts stand-ins and six instances on loopback and sends them requests.", &demoCommand{}))
-	if _, err := parser.Parse(); err != nil {
-		var usage *flags.Error
-		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(1)
-	}
-}
-
-func must(_ *flags.Command, err error) {
-	if err != nil {
-		panic(err)
-	}
+	command.Main("pumiceshelf", []command.Command{
+		{Name: "run", Short: "Run one instance", Long: "Runs one instance of the fleet until SIGTERM has drained it.", Data: &runCommand{}},
+		{Name: "check", Short: "Check a settings file", Long: "Names each wrong field by its path, what it has and what it must be.", Data: &checkCommand{}},
+		{Name: "demo", Short: "Run everything in one process", Long: "Starts stand-ins and six instances on loopback and sends them requests.", Data: &demoCommand{}},
+	})
 }
 
 // Execute implements flags.Commander.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -47,8 +47,6 @@
 	Adjust   func(*api.Settings)
 	Policies node.Policies
 	Seed     uint64
-	// LogLevel of the instances; empty for errors only.
-	LogLevel string
 }
 
 // Customer of a fleet with one budget.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,7 +18,6 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/bundle"
-	"pumiceshelf/instance"
 	"pumiceshelf/internal/standin"
 	"pumiceshelf/node"
 	"pumiceshelf/platform"
@@ -70,7 +69,7 @@
 func Start(ctx context.Context, c Config) (*Fleet, error) {
 	f := &Fleet{Objects: standin.NewObjects(), Network: NewNetwork(), config: c, leaving: make(map[string]bool)}
 	f.operator = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	f.log = &log.Logger{Handler: text.New(os.Stderr), Level: logLevel(c.LogLevel)}
+	f.log = &log.Logger{Handler: text.New(os.Stderr), Level: log.ErrorLevel}
 	if err := f.startStandins(); err != nil {
 		f.Close()
 		return nil, err
@@ -94,14 +93,6 @@
 	return f, nil
 }
 
-func logLevel(name string) log.Level {
-	level, err := log.ParseLevel(name)
-	if err != nil {
-		return log.ErrorLevel
-	}
-	return level
-}
-
 func (f *Fleet) startStandins() error {
 	address, err := f.serve(f.Objects.Handler(), PlatformSite)
 	if err != nil {
@@ -325,26 +316,6 @@
 // Resume ends a pause.
 func (f *Fleet) Resume(name string) { f.Network.Open("pause " + name) }
 
-// DomainOf returns the failure domain of an instance or endpoint; empty for other sites.
-func (f *Fleet) DomainOf(s Site) instance.Domain {
-	for _, e := range f.Engines {
-		if Site(e.ID) == s {
-			return instance.Domain(e.Domain)
-		}
-	}
-	for _, p := range f.Plains {
-		if Site(p.ID) == s {
-			return instance.Domain(p.Domain)
-		}
-	}
-	for _, m := range f.Members() {
-		if Site(m.Name) == s {
-			return instance.Domain(m.Domain)
-		}
-	}
-	return ""
-}
-
 // Close stops everything at once.
 func (f *Fleet) Close() {
 	f.Network.OpenAll()
