--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // Change is one difference between two bundles.
@@ -46,7 +46,7 @@
 
 // ChangesBetween reads the pages in which two manifests differ and returns what changed; old is nil before the first
 // bundle. The parts given are not read from the platform.
-func ChangesBetween(ctx context.Context, store platform.Store, old, next *api.Manifest, parts [][]byte) ([]Change, error) {
+func ChangesBetween(ctx context.Context, store objectstore.Store, old, next *api.Manifest, parts [][]byte) ([]Change, error) {
 	from, to, err := Differing(ctx, store, old, next, parts)
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 }
 
 // Differing returns two bundles cut down to the pages in which the manifests differ; see ChangesBetween.
-func Differing(ctx context.Context, store platform.Store, old, next *api.Manifest, parts [][]byte) (from, to *api.Bundle, err error) {
+func Differing(ctx context.Context, store objectstore.Store, old, next *api.Manifest, parts [][]byte) (from, to *api.Bundle, err error) {
 	return differing(ctx, localFetcher{parts: byHash(parts), rest: storeFetcher{store: store, parallel: parallel}}, old, next)
 }
 
@@ -71,7 +71,7 @@
 }
 
 // ReadBundle reads a whole bundle from the platform.
-func ReadBundle(ctx context.Context, store platform.Store, m *api.Manifest) (*api.Bundle, error) {
+func ReadBundle(ctx context.Context, store objectstore.Store, m *api.Manifest) (*api.Bundle, error) {
 	return loadBundle(ctx, m, storeFetcher{store: store, parallel: parallel})
 }
 
--- a/bundle/fetch.go
+++ b/bundle/fetch.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 // storeFetcher reads packs from the platform.
 type storeFetcher struct {
-	store    platform.Store
+	store    objectstore.Store
 	parallel int
 }
 
@@ -69,7 +69,7 @@
 	return out
 }
 
-func readPack(ctx context.Context, store platform.Store, h Hash) (*api.PartPack, error) {
+func readPack(ctx context.Context, store objectstore.Store, h Hash) (*api.PartPack, error) {
 	ctx, cancel := context.WithTimeout(ctx, packTimeout)
 	defer cancel()
 	obj, err := store.Get(ctx, partKey(h))
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -27,8 +27,8 @@
 	"pumiceshelf/api"
 	"pumiceshelf/instance"
 	"pumiceshelf/internal/standin"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 )
 
 // operator is a test operator with its key.
@@ -267,7 +267,7 @@
 
 // fleetStore is a node's way to the platform, which may go silent.
 type fleetStore struct {
-	platform.Store
+	objectstore.Store
 	fleet *testFleet
 	name  string
 }
@@ -280,20 +280,20 @@
 		return nil
 	}
 	<-ctx.Done()
-	return platform.ErrUnavailable
+	return objectstore.ErrUnavailable
 }
 
-func (s *fleetStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *fleetStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if err := s.hang(ctx); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *fleetStore) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, error) {
+func (s *fleetStore) Watch(ctx context.Context, key string, after objectstore.Version) (objectstore.Object, error) {
 	obj, err := s.Store.Watch(ctx, key, after)
 	if hung := s.hang(ctx); hung != nil {
-		return platform.Object{}, hung
+		return objectstore.Object{}, hung
 	}
 	return obj, err
 }
--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -16,8 +16,8 @@
 	"pumiceshelf/api"
 	"pumiceshelf/fieldcheck"
 	"pumiceshelf/invariant"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/telemetry"
 )
 
@@ -31,7 +31,7 @@
 	Clock          clockwork.Clock
 	Log            log.Interface
 	Metrics        metrics.Registry
-	Store          platform.Store
+	Store          objectstore.Store
 	View           peer.View
 	Conns          peer.Conns
 	Repairs        *telemetry.Repairs
--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // writeTries bounds the attempts at one write.
@@ -50,7 +50,7 @@
 // Roll writes the parts that the platform lacks and the manifest, then moves the pointer to the manifest if it still
 // names the bundle that the manifest replaces. Calling it again after any error is safe, also after one that leaves
 // open whether the pointer moved.
-func Roll(ctx context.Context, store platform.Store, signed *api.SignedManifest, parts [][]byte) error {
+func Roll(ctx context.Context, store objectstore.Store, signed *api.SignedManifest, parts [][]byte) error {
 	m, err := decodeManifest(signed)
 	if err != nil {
 		return err
@@ -60,7 +60,7 @@
 }
 
 type roll struct {
-	store    platform.Store
+	store    objectstore.Store
 	signed   *api.SignedManifest
 	manifest *api.Manifest
 	parts    map[Hash][]byte
@@ -207,17 +207,17 @@
 // a sweep from removing it.
 func (r *roll) create(ctx context.Context, key string, value []byte) error {
 	var last error
-	var version platform.Version
+	var version objectstore.Version
 	for range writeTries {
 		_, last = r.store.Put(ctx, key, value, version)
 		if last == nil {
 			return nil
 		}
-		if !errors.Is(last, platform.ErrAmbiguous) && !errors.Is(last, platform.ErrConflict) {
+		if !errors.Is(last, objectstore.ErrAmbiguous) && !errors.Is(last, objectstore.ErrConflict) {
 			break
 		}
 		obj, err := r.store.Get(ctx, key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			last = err
 			break
 		}
@@ -236,7 +236,7 @@
 			return nil
 		}
 		last = err
-		if !errors.Is(err, platform.ErrAmbiguous) && !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectstore.ErrAmbiguous) && !errors.Is(err, objectstore.ErrConflict) {
 			break
 		}
 		back, err := ReadPointer(ctx, r.store)
--- a/bundle/roll_test.go
+++ b/bundle/roll_test.go
@@ -10,7 +10,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/internal/standin"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 func TestOperatorsRacing(t *testing.T) {
@@ -46,11 +46,11 @@
 
 // racingStore lets another operator move the pointer between this one's read and write.
 type racingStore struct {
-	platform.Store
+	objectstore.Store
 	race func()
 }
 
-func (s *racingStore) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (s *racingStore) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	if key == PointerKey && s.race != nil {
 		s.race()
 		s.race = nil
@@ -107,15 +107,15 @@
 
 // lostThenSucceeded loses the answer to the pointer update and runs after before it returns.
 type lostThenSucceeded struct {
-	platform.Store
+	objectstore.Store
 	after func()
 }
 
-func (s *lostThenSucceeded) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (s *lostThenSucceeded) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	version, err := s.Store.Put(ctx, key, value, expected)
 	if key == PointerKey {
 		s.after()
-		return 0, platform.ErrAmbiguous
+		return 0, objectstore.ErrAmbiguous
 	}
 	return version, err
 }
@@ -125,7 +125,7 @@
 		objects := standin.NewObjects()
 		signed, parts := signedNext(objects.Link("ana"), testBundle(1, 2, 1), ana, badr)
 		objects.SetFaults(standin.Faults{Down: true})
-		So(errors.Is(Roll(context.Background(), objects.Link("ana"), signed, parts), platform.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(Roll(context.Background(), objects.Link("ana"), signed, parts), objectstore.ErrUnavailable), ShouldBeTrue)
 		objects.SetFaults(standin.Faults{})
 		So(Roll(context.Background(), objects.Link("ana"), signed, parts), ShouldBeNil)
 	})
--- a/bundle/source.go
+++ b/bundle/source.go
@@ -8,7 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // source brings the parts of a bundle and the manifests that lead to it.
@@ -23,7 +23,7 @@
 	metrics metrics.Registry
 }
 
-func newStoreSource(store platform.Store, r metrics.Registry) storeSource {
+func newStoreSource(store objectstore.Store, r metrics.Registry) storeSource {
 	return storeSource{storeFetcher: storeFetcher{store: store, parallel: parallel}, metrics: r}
 }
 
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // PointerKey is the platform object that names the bundle in force.
@@ -25,7 +25,7 @@
 // Pointer is the pointer object as read from the platform.
 type Pointer struct {
 	// Version of the object; zero when no bundle was rolled yet.
-	Version platform.Version
+	Version objectstore.Version
 	// Signed is the manifest it names, nil when no bundle was rolled yet. It is not verified.
 	Signed *api.SignedManifest
 	// Manifest is the decoded manifest.
@@ -33,9 +33,9 @@
 }
 
 // ReadPointer reads the pointer object. A fleet without a bundle gives an empty pointer.
-func ReadPointer(ctx context.Context, store platform.Store) (Pointer, error) {
+func ReadPointer(ctx context.Context, store objectstore.Store) (Pointer, error) {
 	obj, err := store.Get(ctx, PointerKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return Pointer{}, nil
 	}
 	if err != nil {
@@ -44,7 +44,7 @@
 	return decodePointer(obj)
 }
 
-func decodePointer(obj platform.Object) (Pointer, error) {
+func decodePointer(obj objectstore.Object) (Pointer, error) {
 	p := &api.BundlePointer{}
 	if err := proto.Unmarshal(obj.Value, p); err != nil {
 		return Pointer{}, fmt.Errorf("%w: pointer: %w", ErrMalformed, err)
@@ -62,7 +62,7 @@
 // Hash returns the hash of the manifest that the pointer names.
 func (p Pointer) Hash() Hash { return HashOf(p.Signed.GetManifest()) }
 
-func readManifest(ctx context.Context, store platform.Store, h Hash) (*api.SignedManifest, error) {
+func readManifest(ctx context.Context, store objectstore.Store, h Hash) (*api.SignedManifest, error) {
 	obj, err := store.Get(ctx, manifestKey(h))
 	if err != nil {
 		return nil, fmt.Errorf("bundle: read manifest %s: %w", h, err)
@@ -79,7 +79,7 @@
 
 // ReadApprovers reads the manifest whose operators approved the bundle that the pointer names. It returns nil when
 // those of the settings did.
-func ReadApprovers(ctx context.Context, store platform.Store, p Pointer) (*api.Manifest, error) {
+func ReadApprovers(ctx context.Context, store objectstore.Store, p Pointer) (*api.Manifest, error) {
 	if p.Version == 0 || len(p.Manifest.ApproversHash) == 0 {
 		return nil, nil
 	}
--- a/bundle/sweep.go
+++ b/bundle/sweep.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -29,7 +29,7 @@
 // Sweep removes parts and manifests that none of the last keep bundles names, one or more, in two steps: an object is
 // removed once an earlier sweep noted it at the same version and the pointer has moved since. Whoever wrote the object
 // before it was noted, for a bundle not rolled by then, can no longer roll that; whoever needs it later writes it again.
-func Sweep(ctx context.Context, store platform.Store, keep int) (Swept, error) {
+func Sweep(ctx context.Context, store objectstore.Store, keep int) (Swept, error) {
 	s := sweep{store: store, keep: max(keep, 1)}
 	before, version, err := s.readNotes(ctx)
 	if err != nil {
@@ -52,14 +52,14 @@
 }
 
 type sweep struct {
-	store platform.Store
+	store objectstore.Store
 	keep  int
 }
 
-func (s *sweep) readNotes(ctx context.Context) (*api.BundleSweep, platform.Version, error) {
+func (s *sweep) readNotes(ctx context.Context) (*api.BundleSweep, objectstore.Version, error) {
 	notes := &api.BundleSweep{}
 	obj, err := s.store.Get(ctx, sweepKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return notes, 0, nil
 	}
 	if err != nil {
@@ -72,8 +72,8 @@
 }
 
 // list returns the versions of all parts and manifests by key.
-func (s *sweep) list(ctx context.Context) (map[string]platform.Version, error) {
-	found := make(map[string]platform.Version)
+func (s *sweep) list(ctx context.Context) (map[string]objectstore.Version, error) {
+	found := make(map[string]objectstore.Version)
 	for _, prefix := range []string{partPrefix, manifestPrefix} {
 		after := ""
 		for {
@@ -123,7 +123,7 @@
 		return nil, err
 	}
 	signed, err := readManifest(ctx, s.store, h)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, nil
 	}
 	return signed, err
@@ -148,7 +148,7 @@
 	return nil
 }
 
-func notNamed(found map[string]platform.Version, named map[string]bool) map[string]platform.Version {
+func notNamed(found map[string]objectstore.Version, named map[string]bool) map[string]objectstore.Version {
 	for key := range named {
 		delete(found, key)
 	}
@@ -157,19 +157,19 @@
 
 // remove removes the candidates that were noted before the pointer last moved, and notes the others.
 func (s *sweep) remove(
-	ctx context.Context, candidates map[string]platform.Version, before *api.BundleSweep, version platform.Version, number uint64,
+	ctx context.Context, candidates map[string]objectstore.Version, before *api.BundleSweep, version objectstore.Version, number uint64,
 ) (Swept, error) {
 	var out Swept
 	if number > before.PointerNumber {
 		for _, c := range before.Candidates {
-			if v, ok := candidates[c.Key]; !ok || v != platform.Version(c.Version) {
+			if v, ok := candidates[c.Key]; !ok || v != objectstore.Version(c.Version) {
 				continue
 			}
-			err := s.store.Delete(ctx, c.Key, platform.Version(c.Version))
+			err := s.store.Delete(ctx, c.Key, objectstore.Version(c.Version))
 			switch {
 			case err == nil:
 				out.Removed++
-			case !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound):
+			case !errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrNotFound):
 				return out, fmt.Errorf("bundle: sweep: %w", err)
 			}
 			delete(candidates, c.Key)
--- a/bundle/sweep_test.go
+++ b/bundle/sweep_test.go
@@ -10,26 +10,26 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/internal/standin"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // interruptedStore runs something before some of its calls.
 type interruptedStore struct {
-	platform.Store
+	objectstore.Store
 	before func()
 }
 
-func (s *interruptedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *interruptedStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	s.before()
 	return s.Store.Get(ctx, key)
 }
 
-func (s *interruptedStore) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (s *interruptedStore) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	s.before()
 	return s.Store.Put(ctx, key, value, expected)
 }
 
-func (s *interruptedStore) Delete(ctx context.Context, key string, expected platform.Version) error {
+func (s *interruptedStore) Delete(ctx context.Context, key string, expected objectstore.Version) error {
 	s.before()
 	return s.Store.Delete(ctx, key, expected)
 }
@@ -50,7 +50,7 @@
 		objects := standin.NewObjects()
 		mustRoll(t, objects, testBundle(1, 2, 1))
 		number := uint64(1)
-		rollOne := func(store platform.Store) {
+		rollOne := func(store objectstore.Store) {
 			number++
 			signed, parts := signedNext(objects.Link("operator"), recurring(rt, number), ana, badr)
 			m, err := decodeManifest(signed)
--- a/bundle/watch.go
+++ b/bundle/watch.go
@@ -8,8 +8,8 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 )
 
 const (
@@ -50,7 +50,7 @@
 
 // watch waits for the pointer to change while this instance is the one of its domain that watches.
 func (h *Holder) watch(ctx context.Context) {
-	var seen platform.Version
+	var seen objectstore.Version
 	for ctx.Err() == nil {
 		if !h.isWatcher() {
 			h.wait(ctx, compareInterval)
@@ -66,14 +66,14 @@
 }
 
 // watchOnce waits for one change and returns the version seen. An error means that it is to be seen again.
-func (h *Holder) watchOnce(ctx context.Context, seen platform.Version) (platform.Version, error) {
+func (h *Holder) watchOnce(ctx context.Context, seen objectstore.Version) (objectstore.Version, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, h.watchFor)
 	defer cancel()
 	obj, err := h.cfg.Store.Watch(watchCtx, PointerKey, seen)
 	switch {
 	case err == nil:
 		return h.takeObject(ctx, obj, seen)
-	case errors.Is(err, platform.ErrUnchanged):
+	case errors.Is(err, objectstore.ErrUnchanged):
 		h.platformDown.Store(false)
 		return seen, nil
 	case watchCtx.Err() != nil:
@@ -83,7 +83,7 @@
 	return seen, err
 }
 
-func (h *Holder) takeObject(ctx context.Context, obj platform.Object, seen platform.Version) (platform.Version, error) {
+func (h *Holder) takeObject(ctx context.Context, obj objectstore.Object, seen objectstore.Version) (objectstore.Version, error) {
 	h.platformDown.Store(false)
 	pointer, err := decodePointer(obj)
 	if err != nil {
@@ -94,7 +94,7 @@
 }
 
 // readBehindWatch reads the pointer after a watch that brought nothing.
-func (h *Holder) readBehindWatch(ctx context.Context, seen platform.Version) (platform.Version, error) {
+func (h *Holder) readBehindWatch(ctx context.Context, seen objectstore.Version) (objectstore.Version, error) {
 	pointer, err := h.askPlatform(ctx)
 	if err != nil {
 		return seen, err
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -11,7 +11,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/bundle"
 	"pumiceshelf/internal/commentjson"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // signedMode is the mode of files with signed manifests.
@@ -55,7 +55,7 @@
 
 // compare reads the bundle in force as far as it differs, checks that the loaded one may replace it, and returns what
 // changes.
-func (a *app) compare(l loaded, store platform.Store, current bundle.Pointer) ([]bundle.Change, error) {
+func (a *app) compare(l loaded, store objectstore.Store, current bundle.Pointer) ([]bundle.Change, error) {
 	from, to, err := bundle.Differing(a.ctx, store, current.Manifest, l.manifest, l.parts)
 	if err != nil {
 		return nil, fmt.Errorf("ctl: read bundle %d: %w", current.Number(), err)
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -15,7 +15,7 @@
 
 	"pumiceshelf/bundle"
 	"pumiceshelf/fieldcheck"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // Exit codes.
@@ -140,11 +140,11 @@
 }
 
 // store returns the platform, or errUsage when none is named.
-func (a *app) store() (*platform.HTTP, error) {
+func (a *app) store() (*objectstore.HTTP, error) {
 	if a.Platform == "" {
 		return nil, fmt.Errorf("%w: name the platform by --platform URL or PUMICE_PLATFORM", errUsage)
 	}
-	return platform.NewHTTP(platform.HTTPConfig{
+	return objectstore.NewHTTP(objectstore.HTTPConfig{
 		URL:          a.Platform,
 		Name:         "pumicectl",
 		Client:       a.client,
--- a/ctl/roll.go
+++ b/ctl/roll.go
@@ -8,7 +8,7 @@
 	"pumiceshelf/admin"
 	"pumiceshelf/api"
 	"pumiceshelf/bundle"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // progressInterval is the time between looks at the fleet while a bundle comes in force.
@@ -62,7 +62,7 @@
 }
 
 // checkRoll checks a bundle against the one in force. Where that is not the one that it replaces, Roll tells more.
-func (a *app) checkRoll(l loaded, signed *api.SignedManifest, store platform.Store) error {
+func (a *app) checkRoll(l loaded, signed *api.SignedManifest, store objectstore.Store) error {
 	current, err := bundle.ReadPointer(a.ctx, store)
 	if err != nil {
 		return err
--- a/ctl/sweep.go
+++ b/ctl/sweep.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"pumiceshelf/bundle"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -51,7 +51,7 @@
 }
 
 // sweepSometimes sweeps after every sweepEvery bundles. The roll has succeeded whatever comes of it.
-func (a *app) sweepSometimes(number uint64, store platform.Store) {
+func (a *app) sweepSometimes(number uint64, store objectstore.Store) {
 	if number%sweepEvery != 0 {
 		return
 	}
--- a/idempotency/finish.go
+++ b/idempotency/finish.go
@@ -10,7 +10,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/claim"
 	"pumiceshelf/invariant"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // Finish implements Gate.
@@ -101,7 +101,7 @@
 // readAnswer reads an answer from its object. One whose retention has ended counts as dropped.
 func (k *Keeper) readAnswer(ctx context.Context, c *api.Claim) (*api.RecordedAnswer, error) {
 	segment, err := k.readSegment(ctx, c.GetAnswerObject())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return &api.RecordedAnswer{Dropped: true}, nil
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 	}
 	segment := &api.ClaimSegment{}
 	if err := proto.Unmarshal(obj.Value, segment); err != nil {
-		return nil, fmt.Errorf("%w: claims segment: %w", platform.ErrMalformed, err)
+		return nil, fmt.Errorf("%w: claims segment: %w", objectstore.ErrMalformed, err)
 	}
 	return segment, nil
 }
--- a/idempotency/keeper.go
+++ b/idempotency/keeper.go
@@ -22,8 +22,8 @@
 	"pumiceshelf/api"
 	"pumiceshelf/claim"
 	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/story"
 	"pumiceshelf/telemetry"
 )
@@ -45,7 +45,7 @@
 	Clock    clockwork.Clock
 	Log      log.Interface
 	Metrics  metrics.Registry
-	Store    platform.Store
+	Store    objectstore.Store
 	View     peer.View
 	Conns    peer.Conns
 	Stories  *story.Book
--- a/idempotency/metrics.go
+++ b/idempotency/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/telemetry"
 )
 
@@ -64,9 +64,9 @@
 // countRetry counts why a call to the platform is repeated.
 func (k *Keeper) countRetry(err error) {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		k.count.conflict.Inc(1)
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, objectstore.ErrAmbiguous):
 		k.count.lost.Inc(1)
 	default:
 		k.count.failed.Inc(1)
--- a/idempotency/roll.go
+++ b/idempotency/roll.go
@@ -9,7 +9,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/claim"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // roll moves the newest claims to a segment and drops segments past the retention. It changes no claim; when it fails,
@@ -64,7 +64,7 @@
 	version, err := s.keeper.cfg.Store.Put(ctx, s.headKey(), value, s.version)
 	if err != nil {
 		s.stale = true
-		if !errors.Is(err, platform.ErrAmbiguous) {
+		if !errors.Is(err, objectstore.ErrAmbiguous) {
 			s.remove(ctx, name)
 		}
 		return err
@@ -115,7 +115,7 @@
 	if err == nil {
 		err = s.keeper.cfg.Store.Delete(ctx, name, obj.Version)
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		s.keeper.count.leftBehind.Inc(1)
 	}
 }
--- a/idempotency/route.go
+++ b/idempotency/route.go
@@ -12,8 +12,8 @@
 	"pumiceshelf/api"
 	"pumiceshelf/claim"
 	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 )
 
 const (
@@ -84,10 +84,10 @@
 	ctx, cancel := k.within(ctx, k.claimWait())
 	defer cancel()
 	obj, err := k.cfg.Store.Get(ctx, layoutKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		value, _ := proto.Marshal(&api.ClaimLayout{Shards: max(1, k.cfg.Settings.GetShards())})
 		if _, err := k.cfg.Store.Put(ctx, layoutKey, value, 0); err != nil &&
-			!errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrAmbiguous) {
+			!errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrAmbiguous) {
 			return nil, err
 		}
 		obj, err = k.cfg.Store.Get(ctx, layoutKey)
@@ -97,7 +97,7 @@
 	}
 	layout := &api.ClaimLayout{}
 	if err := proto.Unmarshal(obj.Value, layout); err != nil || layout.GetShards() == 0 {
-		return nil, fmt.Errorf("%w: claims layout", platform.ErrMalformed)
+		return nil, fmt.Errorf("%w: claims layout", objectstore.ErrMalformed)
 	}
 	if layout.GetShards() != k.cfg.Settings.GetShards() {
 		k.cfg.Log.Warnf("claims: the fleet keeps %d shards, the settings' %d is not used", layout.GetShards(), k.cfg.Settings.GetShards())
--- a/idempotency/shard.go
+++ b/idempotency/shard.go
@@ -14,7 +14,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/claim"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -43,7 +43,7 @@
 	// state guards what follows.
 	state   sync.Mutex
 	book    *claim.Book
-	version platform.Version
+	version objectstore.Version
 	loaded  bool
 	// stale says that the platform may hold a newer head.
 	stale    bool
@@ -102,7 +102,7 @@
 			return
 		}
 		s.stale = true
-		wrote = wrote || errors.Is(err, platform.ErrAmbiguous)
+		wrote = wrote || errors.Is(err, objectstore.ErrAmbiguous)
 		s.keeper.countRetry(err)
 		if !s.keeper.sleep(ctx, jitter(wait)) {
 			endAll(group, nil, failure(err, wrote))
@@ -175,7 +175,7 @@
 		return nil
 	}
 	obj, err := s.keeper.cfg.Store.Get(ctx, s.headKey())
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	if s.loaded && obj.Version == s.version {
@@ -184,7 +184,7 @@
 	}
 	head := &api.ClaimHead{}
 	if err := proto.Unmarshal(obj.Value, head); err != nil {
-		return fmt.Errorf("%w: claims head: %w", platform.ErrMalformed, err)
+		return fmt.Errorf("%w: claims head: %w", objectstore.ErrMalformed, err)
 	}
 	if err := s.load(ctx, head); err != nil {
 		return err
@@ -284,7 +284,7 @@
 	for {
 		s.keeper.count.writes.Inc(1)
 		_, err := s.keeper.cfg.Store.Put(ctx, name, value, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, objectstore.ErrConflict) {
 			return nil
 		}
 		s.keeper.countRetry(err)
--- a/internal/bench/bills.go
+++ b/internal/bench/bills.go
@@ -11,7 +11,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/internal/fleet"
 	"pumiceshelf/internal/standin"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/quota"
 )
 
@@ -154,7 +154,7 @@
 // watchRecords keeps every usage record that reaches the platform, also those that the fleet folds into totals later.
 func (r *Run) watchRecords() {
 	r.records = make(map[string][]*api.UsageRecord)
-	r.Fleet.Objects.OnPut(func(obj platform.Object) {
+	r.Fleet.Objects.OnPut(func(obj objectstore.Object) {
 		if !strings.HasPrefix(obj.Key, usagePrefix) {
 			return
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,7 +20,7 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/internal/standin"
 	"pumiceshelf/node"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // readyPoll is how often a condition is looked at while waiting for it.
@@ -264,7 +264,7 @@
 func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddress }
 
 // Store returns the object API as operators reach it.
-func (f *Fleet) Store() platform.Store { return f.Objects.Link("operators") }
+func (f *Fleet) Store() objectstore.Store { return f.Objects.Link("operators") }
 
 // Roll signs a bundle as the successor of the one in force and puts it in force.
 func (f *Fleet) Roll(ctx context.Context, b *api.Bundle) error {
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // watchLimit is how long a watch waits before it ends without news.
@@ -33,22 +33,22 @@
 	Reads, Writes, Watches uint64
 }
 
-// Objects is the object API in memory. Link gives each caller its own platform.Store on it. It is safe for concurrent use.
+// Objects is the object API in memory. Link gives each caller its own objectstore.Store on it. It is safe for concurrent use.
 type Objects struct {
 	mu        sync.Mutex
-	objects   map[string]platform.Object
-	version   platform.Version
+	objects   map[string]objectstore.Object
+	version   objectstore.Version
 	changed   chan struct{}
 	faults    Faults
 	calls     Calls
-	onPut     func(platform.Object)
+	onPut     func(objectstore.Object)
 	instances *api.InstanceList
 }
 
 // NewObjects returns an empty object API.
 func NewObjects() *Objects {
 	return &Objects{
-		objects:   make(map[string]platform.Object),
+		objects:   make(map[string]objectstore.Object),
 		changed:   make(chan struct{}),
 		instances: &api.InstanceList{},
 	}
@@ -77,7 +77,7 @@
 }
 
 // OnPut lets f see every value that is written, in order.
-func (o *Objects) OnPut(f func(platform.Object)) {
+func (o *Objects) OnPut(f func(objectstore.Object)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.onPut = f
@@ -105,8 +105,8 @@
 }
 
 var (
-	_ platform.Store          = (*Link)(nil)
-	_ platform.InstanceLister = (*Link)(nil)
+	_ objectstore.Store          = (*Link)(nil)
+	_ objectstore.InstanceLister = (*Link)(nil)
 )
 
 // enter applies the faults that stop a call and counts it.
@@ -120,7 +120,7 @@
 	}
 	o.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	if f.Delay == 0 {
 		return ctx.Err()
@@ -131,7 +131,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 }
 
@@ -139,33 +139,33 @@
 func (l *Link) leave(key string) error {
 	f := l.objects.Faults()
 	if f.LoseAnswer != nil && f.LoseAnswer(key) {
-		return platform.ErrAmbiguous
+		return objectstore.ErrAmbiguous
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (l *Link) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (l *Link) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if err := l.enter(ctx, &l.objects.calls.Reads); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	l.objects.mu.Lock()
 	defer l.objects.mu.Unlock()
 	obj, ok := l.objects.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (l *Link) List(ctx context.Context, prefix, after string, limit int) ([]platform.Object, error) {
+// List implements objectstore.Store.
+func (l *Link) List(ctx context.Context, prefix, after string, limit int) ([]objectstore.Object, error) {
 	if err := l.enter(ctx, &l.objects.calls.Reads); err != nil {
 		return nil, err
 	}
 	l.objects.mu.Lock()
 	defer l.objects.mu.Unlock()
-	var out []platform.Object
+	var out []objectstore.Object
 	for key, obj := range l.objects.objects {
 		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, obj)
@@ -178,10 +178,10 @@
 	return out, nil
 }
 
-// Put implements platform.Store.
-func (l *Link) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
-	if len(value) > platform.ValueLimit {
-		return 0, platform.ErrTooLarge
+// Put implements objectstore.Store.
+func (l *Link) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	if len(value) > objectstore.ValueLimit {
+		return 0, objectstore.ErrTooLarge
 	}
 	if err := l.enter(ctx, &l.objects.calls.Writes); err != nil {
 		return 0, err
@@ -193,14 +193,14 @@
 	return version, l.leave(key)
 }
 
-func (o *Objects) put(key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (o *Objects) put(key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.objects[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	o.version++
-	obj := platform.Object{Key: key, Version: o.version, Value: append([]byte(nil), value...)}
+	obj := objectstore.Object{Key: key, Version: o.version, Value: append([]byte(nil), value...)}
 	o.objects[key] = obj
 	if o.onPut != nil {
 		o.onPut(obj)
@@ -209,8 +209,8 @@
 	return o.version, nil
 }
 
-// Delete implements platform.Store.
-func (l *Link) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements objectstore.Store.
+func (l *Link) Delete(ctx context.Context, key string, expected objectstore.Version) error {
 	if err := l.enter(ctx, &l.objects.calls.Writes); err != nil {
 		return err
 	}
@@ -220,15 +220,15 @@
 	return l.leave(key)
 }
 
-func (o *Objects) remove(key string, expected platform.Version) error {
+func (o *Objects) remove(key string, expected objectstore.Version) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	obj, ok := o.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return objectstore.ErrNotFound
 	}
 	if obj.Version != expected {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	delete(o.objects, key)
 	o.version++
@@ -236,17 +236,17 @@
 	return nil
 }
 
-// Watch implements platform.Store.
-func (l *Link) Watch(ctx context.Context, key string, after platform.Version) (platform.Object, error) {
+// Watch implements objectstore.Store.
+func (l *Link) Watch(ctx context.Context, key string, after objectstore.Version) (objectstore.Object, error) {
 	if err := l.enter(ctx, &l.objects.calls.Watches); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	timer := time.NewTimer(watchLimit)
 	defer timer.Stop()
 	for {
 		obj, changed, cut := l.look(key)
 		if cut {
-			return platform.Object{}, platform.ErrUnavailable
+			return objectstore.Object{}, objectstore.ErrUnavailable
 		}
 		if obj.Version > after {
 			return obj, nil
@@ -254,14 +254,14 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return platform.Object{}, platform.ErrUnchanged
+			return objectstore.Object{}, objectstore.ErrUnchanged
 		case <-ctx.Done():
-			return platform.Object{}, platform.ErrUnavailable
+			return objectstore.Object{}, objectstore.ErrUnavailable
 		}
 	}
 }
 
-func (l *Link) look(key string) (platform.Object, <-chan struct{}, bool) {
+func (l *Link) look(key string) (objectstore.Object, <-chan struct{}, bool) {
 	o := l.objects
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -269,7 +269,7 @@
 	return o.objects[key], o.changed, cut
 }
 
-// Instances implements platform.InstanceLister.
+// Instances implements objectstore.InstanceLister.
 func (l *Link) Instances(ctx context.Context) (*api.InstanceList, error) {
 	if err := l.enter(ctx, &l.objects.calls.Reads); err != nil {
 		return nil, err
--- a/internal/standin/objects_http.go
+++ b/internal/standin/objects_http.go
@@ -10,7 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // callerHeader names the caller of the object API, so that faults can tell callers apart.
@@ -30,13 +30,13 @@
 func (o *Objects) link(r *http.Request) *Link { return o.Link(r.Header.Get(callerHeader)) }
 
 func (o *Objects) serveGet(w http.ResponseWriter, r *http.Request) {
-	var obj platform.Object
+	var obj objectstore.Object
 	var err error
 	if r.URL.Query().Get("watch") == "" {
 		obj, err = o.link(r).Get(r.Context(), r.PathValue("key"))
 	} else {
 		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-		obj, err = o.link(r).Watch(r.Context(), r.PathValue("key"), platform.Version(after))
+		obj, err = o.link(r).Watch(r.Context(), r.PathValue("key"), objectstore.Version(after))
 	}
 	if err != nil {
 		writeFailure(w, err)
@@ -47,9 +47,9 @@
 }
 
 func (o *Objects) servePut(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.ValueLimit))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectstore.ValueLimit))
 	if err != nil {
-		writeFailure(w, platform.ErrTooLarge)
+		writeFailure(w, objectstore.ErrTooLarge)
 		return
 	}
 	version, err := o.link(r).Put(r.Context(), r.PathValue("key"), value, expectedVersion(r))
@@ -68,9 +68,9 @@
 
 // listedObject is one object in the answer to a list.
 type listedObject struct {
-	Key     string           `json:"key"`
-	Version platform.Version `json:"version"`
-	Value   []byte           `json:"value"`
+	Key     string              `json:"key"`
+	Version objectstore.Version `json:"version"`
+	Value   []byte              `json:"value"`
 }
 
 func (o *Objects) serveList(w http.ResponseWriter, r *http.Request) {
@@ -102,27 +102,27 @@
 	w.Write(body)
 }
 
-func setVersion(w http.ResponseWriter, v platform.Version) {
+func setVersion(w http.ResponseWriter, v objectstore.Version) {
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
 }
 
-func expectedVersion(r *http.Request) platform.Version {
+func expectedVersion(r *http.Request) objectstore.Version {
 	v, _ := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	return platform.Version(v)
+	return objectstore.Version(v)
 }
 
 // writeFailure answers with the status of an error. A lost answer closes the connection without one.
 func writeFailure(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, platform.ErrUnchanged):
+	case errors.Is(err, objectstore.ErrUnchanged):
 		w.WriteHeader(http.StatusNotModified)
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, objectstore.ErrAmbiguous):
 		panic(http.ErrAbortHandler)
 	default:
 		w.WriteHeader(http.StatusTooManyRequests)
--- a/node/build.go
+++ b/node/build.go
@@ -17,9 +17,9 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/orders"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/quota"
 	"pumiceshelf/route"
 	"pumiceshelf/server"
@@ -36,7 +36,7 @@
 	c, p := n.config, &n.parts
 	p.stories = story.NewBook(storyLimit, c.Clock.Now)
 	p.repairs = telemetry.NewRepairs(c.Log, c.Clock.Now)
-	p.platform = platform.NewClient(platform.ClientConfig{
+	p.platform = objectstore.NewClient(objectstore.ClientConfig{
 		Settings: c.Settings.Platform, Clock: c.Clock, Metrics: c.Metrics, Store: c.Store, Lister: c.Lister,
 	})
 	if err := n.buildFleet(); err != nil {
--- a/node/config.go
+++ b/node/config.go
@@ -11,7 +11,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/idempotency"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/quota"
 )
 
@@ -40,8 +40,8 @@
 	Clock   clockwork.Clock
 	Dial    DialFunc
 	Listen  ListenFunc
-	Store   platform.Store
-	Lister  platform.InstanceLister
+	Store   objectstore.Store
+	Lister  objectstore.InstanceLister
 }
 
 // complete fills in the defaults.
--- a/node/node.go
+++ b/node/node.go
@@ -18,9 +18,9 @@
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
 	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/orders"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/quota"
 	"pumiceshelf/route"
 	"pumiceshelf/server"
@@ -58,7 +58,7 @@
 type parts struct {
 	stories   *story.Book
 	repairs   *telemetry.Repairs
-	platform  *platform.Client
+	platform  *objectstore.Client
 	fleet     *peer.Fleet
 	bundles   *bundle.Holder
 	endpoints *endpoint.HTTPClient
--- a/node/platform.go
+++ b/node/platform.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -17,8 +17,8 @@
 	idleConnectionTimeout   = 30 * time.Second
 )
 
-func newPlatformHTTP(c *Config) *platform.HTTP {
-	return platform.NewHTTP(platform.HTTPConfig{
+func newPlatformHTTP(c *Config) *objectstore.HTTP {
+	return objectstore.NewHTTP(objectstore.HTTPConfig{
 		URL:  c.Settings.PlatformUrl,
 		Name: c.Settings.Name,
 		Client: &http.Client{Transport: &http.Transport{
@@ -33,11 +33,11 @@
 
 // listTap passes the endpoints that the platform lists as leaving to the balancer.
 type listTap struct {
-	platform.InstanceLister
+	objectstore.InstanceLister
 	leaving func(endpoints []string)
 }
 
-// Instances implements platform.InstanceLister.
+// Instances implements objectstore.InstanceLister.
 func (t listTap) Instances(ctx context.Context) (*api.InstanceList, error) {
 	list, err := t.InstanceLister.Instances(ctx)
 	if err != nil {
--- a/platform/http_test.go
+++ b/objectstore/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -14,11 +14,11 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/internal/standin"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
-func newHTTP(url string) *platform.HTTP {
-	return platform.NewHTTP(platform.HTTPConfig{
+func newHTTP(url string) *objectstore.HTTP {
+	return objectstore.NewHTTP(objectstore.HTTPConfig{
 		URL: url, Name: "muscat-1", Client: &http.Client{}, CallTimeout: 5 * time.Second, WatchTimeout: 20 * time.Second,
 	})
 }
@@ -35,7 +35,7 @@
 			v1, err := store.Put(ctx, "ledgers/al wusta/é", []byte("one"), 0)
 			So(err, ShouldBeNil)
 			_, err = store.Put(ctx, "ledgers/al wusta/é", []byte("two"), 0)
-			So(errors.Is(err, platform.ErrConflict), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrConflict), ShouldBeTrue)
 			v2, err := store.Put(ctx, "ledgers/al wusta/é", []byte("two"), v1)
 			So(err, ShouldBeNil)
 			So(v2, ShouldBeGreaterThan, v1)
@@ -46,8 +46,8 @@
 		})
 		Convey("an absent object is not found and is never deleted", func() {
 			_, err := store.Get(ctx, "none")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
-			So(errors.Is(store.Delete(ctx, "none", 7), platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(store.Delete(ctx, "none", 7), objectstore.ErrNotFound), ShouldBeTrue)
 		})
 		Convey("a list is ordered and bounded", func() {
 			for _, key := range []string{"b/2", "a/1", "b/1", "b/3"} {
@@ -61,7 +61,7 @@
 		})
 		Convey("a watch returns the newer version", func() {
 			v, _ := store.Put(ctx, "current", []byte("1"), 0)
-			got := make(chan platform.Object, 1)
+			got := make(chan objectstore.Object, 1)
 			go func() {
 				obj, _ := store.Watch(ctx, "current", v)
 				got <- obj
@@ -73,7 +73,7 @@
 		Convey("a lost answer is ambiguous and the write stands", func() {
 			objects.SetFaults(standin.Faults{LoseAnswer: func(string) bool { return true }})
 			_, err := store.Put(ctx, "x", []byte("1"), 0)
-			So(errors.Is(err, platform.ErrAmbiguous), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrAmbiguous), ShouldBeTrue)
 			obj, err := store.Get(ctx, "x")
 			So(err, ShouldBeNil)
 			So(string(obj.Value), ShouldEqual, "1")
@@ -81,15 +81,15 @@
 		Convey("a cut caller is refused and nothing is written", func() {
 			objects.SetFaults(standin.Faults{Cut: func(caller string) bool { return caller == "muscat-1" }})
 			_, err := store.Put(ctx, "x", []byte("1"), 0)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 			objects.SetFaults(standin.Faults{})
 			_, err = store.Get(ctx, "x")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
 		})
 		Convey("a closed platform is unavailable, not ambiguous", func() {
 			server.Close()
 			_, err := store.Put(ctx, "x", []byte("1"), 0)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 		})
 	})
 }
@@ -101,10 +101,10 @@
 		write  error
 		read   error
 	}{
-		{"no version", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("hello")) }, platform.ErrAmbiguous, platform.ErrMalformed},
-		{"version is no number", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("ETag", `"abc"`) }, platform.ErrAmbiguous, platform.ErrMalformed},
-		{"bad gateway", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, platform.ErrAmbiguous, platform.ErrUnavailable},
-		{"rate limit", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, platform.ErrUnavailable, platform.ErrUnavailable},
+		{"no version", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("hello")) }, objectstore.ErrAmbiguous, objectstore.ErrMalformed},
+		{"version is no number", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("ETag", `"abc"`) }, objectstore.ErrAmbiguous, objectstore.ErrMalformed},
+		{"bad gateway", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, objectstore.ErrAmbiguous, objectstore.ErrUnavailable},
+		{"rate limit", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, objectstore.ErrUnavailable, objectstore.ErrUnavailable},
 	}
 	for _, c := range cases {
 		Convey("Given a platform that answers: "+c.name, t, func() {
@@ -125,16 +125,16 @@
 		objects := standin.NewObjects()
 		link := objects.Link("muscat-1")
 		registry := metrics.NewRegistry()
-		client := platform.NewClient(platform.ClientConfig{
+		client := objectstore.NewClient(objectstore.ClientConfig{
 			Settings: &api.PlatformSettings{CallsPerSecond: 0.001}, Clock: clockwork.NewFakeClock(), Metrics: registry, Store: link, Lister: link,
 		})
 		Convey("a call over the limit is not sent", func() {
 			_, err := client.Get(ctx, "x")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
 			short, cancel := context.WithTimeout(ctx, time.Millisecond)
 			defer cancel()
 			_, err = client.Get(short, "x")
-			So(errors.Is(err, platform.ErrThrottled), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrThrottled), ShouldBeTrue)
 			So(objects.Calls().Reads, ShouldEqual, 1)
 		})
 		Convey("it knows whether the platform answers", func() {
--- a/platform/store.go
+++ b/objectstore/store.go
@@ -1,9 +1,9 @@
-// Package platform is the edge to the platform's object API and instance list.
+// Package objectstore is the edge to the platform's object API and instance list.
 //
 // The object API keeps named values with versions. Updates are conditional on
 // the version read before. An answer may be lost after the write took effect:
 // such a call returns ErrAmbiguous and the caller reads the object back.
-package platform
+package objectstore
 
 import (
 	"context"
@@ -27,21 +27,21 @@
 
 var (
 	// ErrNotFound means that the object does not exist.
-	ErrNotFound = errors.New("platform: object not found")
+	ErrNotFound = errors.New("objectstore: object not found")
 	// ErrConflict means that the object is not at the version that the update expected. Nothing was written.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("objectstore: version conflict")
 	// ErrUnavailable means that the platform could not be reached or refused. Nothing was written.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("objectstore: unavailable")
 	// ErrAmbiguous means that a write may or may not have taken effect. Read the object back.
-	ErrAmbiguous = errors.New("platform: answer lost, write may have taken effect")
+	ErrAmbiguous = errors.New("objectstore: answer lost, write may have taken effect")
 	// ErrThrottled means that this instance's own limit of calls left no room before the context ended. Nothing was sent.
-	ErrThrottled = errors.New("platform: own call limit reached")
+	ErrThrottled = errors.New("objectstore: own call limit reached")
 	// ErrUnchanged means that a watch ended with no newer version.
-	ErrUnchanged = errors.New("platform: no newer version")
+	ErrUnchanged = errors.New("objectstore: no newer version")
 	// ErrTooLarge means that the value is over ValueLimit. Nothing was sent.
-	ErrTooLarge = errors.New("platform: value over the limit")
+	ErrTooLarge = errors.New("objectstore: value over the limit")
 	// ErrMalformed means that the platform answered something that is not its protocol.
-	ErrMalformed = errors.New("platform: malformed answer")
+	ErrMalformed = errors.New("objectstore: malformed answer")
 )
 
 // Store is the object API. Implementations are safe for concurrent use.
--- a/orders/fakes_test.go
+++ b/orders/fakes_test.go
@@ -17,49 +17,49 @@
 	"pumiceshelf/api"
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 )
 
-// memoryStore is a platform.Store whose answers tests can take away.
+// memoryStore is a objectstore.Store whose answers tests can take away.
 type memoryStore struct {
-	platform.Store
+	objectstore.Store
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	version platform.Version
+	objects map[string]objectstore.Object
+	version objectstore.Version
 	down    bool
 	// loseNext lets the next write take effect and loses its answer.
 	loseNext bool
 	writes   int
 }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	if o, ok := s.objects[key]; ok {
 		return o, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectstore.Object{}, objectstore.ErrNotFound
 }
 
-func (s *memoryStore) Put(_ context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+func (s *memoryStore) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	if s.objects[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	s.version++
 	s.writes++
-	s.objects[key] = platform.Object{Key: key, Version: s.version, Value: value}
+	s.objects[key] = objectstore.Object{Key: key, Version: s.version, Value: value}
 	if s.loseNext {
 		s.loseNext = false
-		return 0, platform.ErrAmbiguous
+		return 0, objectstore.ErrAmbiguous
 	}
 	return s.version, nil
 }
@@ -201,7 +201,7 @@
 func newFleet(b *api.Bundle, checks bool, domains ...string) *fleet {
 	f := &fleet{
 		clock:   clockwork.NewFakeClock(),
-		store:   &memoryStore{objects: map[string]platform.Object{}},
+		store:   &memoryStore{objects: map[string]objectstore.Object{}},
 		engines: &fakeEngines{states: map[string]*endpoint.State{}, checks: checks, dead: map[string]bool{}},
 		owners:  map[string]**api.Instance{}, bundles: map[string]*fixedBundle{}, rs: map[string]*Reconciler{},
 	}
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pumiceshelf/api"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -22,9 +22,9 @@
 var errNotHolder = errors.New("orders: lease is held by another")
 
 // read fills a message from an object. An absent object leaves it empty, at version zero.
-func read(ctx context.Context, store platform.Store, key string, m proto.Message) (platform.Version, error) {
+func read(ctx context.Context, store objectstore.Store, key string, m proto.Message) (objectstore.Version, error) {
 	o, err := store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -37,7 +37,7 @@
 }
 
 // write replaces an object at a version.
-func write(ctx context.Context, store platform.Store, key string, m proto.Message, expected platform.Version) error {
+func write(ctx context.Context, store objectstore.Store, key string, m proto.Message, expected objectstore.Version) error {
 	value, err := proto.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", key, err)
--- a/orders/reconciler.go
+++ b/orders/reconciler.go
@@ -16,8 +16,8 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
 	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/story"
 	"pumiceshelf/telemetry"
 )
@@ -47,7 +47,7 @@
 	Clock   clockwork.Clock
 	Log     log.Interface
 	Metrics metrics.Registry
-	Store   platform.Store
+	Store   objectstore.Store
 	View    peer.View
 	Bundles bundle.Source
 	Engine  Engine
@@ -289,7 +289,7 @@
 
 // explain counts a round that could not act.
 func (r *Reconciler) explain(err error) {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		r.meters.superseded.Inc(1)
 		r.config.Log.Debugf("orders: round given up: %s", err)
 		return
--- a/orders/reconciler_test.go
+++ b/orders/reconciler_test.go
@@ -10,7 +10,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/endpoint"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // testBundle has perDomain engines of model m at a version in each domain.
@@ -222,7 +222,7 @@
 	})
 }
 
-var _ platform.Store = (*memoryStore)(nil)
+var _ objectstore.Store = (*memoryStore)(nil)
 
 // BenchmarkPlan plans one round of a domain whose engines are all to change.
 func BenchmarkPlan(b *testing.B) {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -22,7 +22,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/instance"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/telemetry"
 )
 
@@ -56,7 +56,7 @@
 	Log     log.Interface
 	Metrics metrics.Registry
 	// Lister is the platform's instance list; without it instances are learnt from heartbeats alone.
-	Lister platform.InstanceLister
+	Lister objectstore.InstanceLister
 	// Dial opens connections; a dialler with keep-alive when nil.
 	Dial    DialFunc
 	Repairs *telemetry.Repairs
--- a/quota/compact.go
+++ b/quota/compact.go
@@ -8,7 +8,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -22,7 +22,7 @@
 type storedSegment struct {
 	*api.UsageSegment
 	key     string
-	version platform.Version
+	version objectstore.Version
 }
 
 var errEnough = errors.New("quota: enough segments for a round")
@@ -72,11 +72,11 @@
 }
 
 // eachSegment calls f for each usage segment, in order of incarnation and sequence, until f returns an error.
-func eachSegment(ctx context.Context, store platform.Store, f func(storedSegment) error) error {
-	return eachObject(ctx, store, usagePrefix, func(obj platform.Object) error {
+func eachSegment(ctx context.Context, store objectstore.Store, f func(storedSegment) error) error {
+	return eachObject(ctx, store, usagePrefix, func(obj objectstore.Object) error {
 		s := &api.UsageSegment{}
 		if err := proto.Unmarshal(obj.Value, s); err != nil {
-			return errors.Join(platform.ErrMalformed, err)
+			return errors.Join(objectstore.ErrMalformed, err)
 		}
 		return f(storedSegment{UsageSegment: s, key: obj.Key, version: obj.Version})
 	})
@@ -145,11 +145,11 @@
 	return false
 }
 
-func readBilling(ctx context.Context, store platform.Store, customer string) (*api.CustomerBilling, platform.Version, error) {
+func readBilling(ctx context.Context, store objectstore.Store, customer string) (*api.CustomerBilling, objectstore.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	obj, err := store.Get(ctx, billingPrefix+customer)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -157,12 +157,12 @@
 	}
 	msg := &api.CustomerBilling{}
 	if err := proto.Unmarshal(obj.Value, msg); err != nil {
-		return nil, 0, errors.Join(platform.ErrMalformed, err)
+		return nil, 0, errors.Join(objectstore.ErrMalformed, err)
 	}
 	return msg, obj.Version, nil
 }
 
-func (m *Manager) writeBilling(ctx context.Context, msg *api.CustomerBilling, version platform.Version) bool {
+func (m *Manager) writeBilling(ctx context.Context, msg *api.CustomerBilling, version objectstore.Version) bool {
 	value, err := proto.Marshal(msg)
 	if err != nil {
 		m.cfg.Log.Errorf("quota: billing of %s does not encode: %v", msg.Customer, err)
@@ -204,7 +204,7 @@
 func (m *Manager) deleteSegment(ctx context.Context, s storedSegment) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := m.cfg.Store.Delete(ctx, s.key, s.version); err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err := m.cfg.Store.Delete(ctx, s.key, s.version); err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		m.cfg.Log.Debugf("quota: segment %s not deleted yet: %v", s.key, err)
 	}
 }
--- a/quota/config.go
+++ b/quota/config.go
@@ -11,8 +11,8 @@
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
 	"pumiceshelf/bundle"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/platform"
 	"pumiceshelf/story"
 	"pumiceshelf/telemetry"
 )
@@ -40,7 +40,7 @@
 	Clock    clockwork.Clock
 	Log      log.Interface
 	Metrics  metrics.Registry
-	Store    platform.Store
+	Store    objectstore.Store
 	View     peer.View
 	Conns    peer.Conns
 	Bundles  bundle.Source
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -11,7 +11,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -163,11 +163,11 @@
 	return true
 }
 
-func readLedger(ctx context.Context, store platform.Store, customer string) (*api.CustomerLedger, budget.Version, error) {
+func readLedger(ctx context.Context, store objectstore.Store, customer string) (*api.CustomerLedger, budget.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	obj, err := store.Get(ctx, LedgerPrefix+customer)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -175,7 +175,7 @@
 	}
 	ledger := &api.CustomerLedger{}
 	if err := proto.Unmarshal(obj.Value, ledger); err != nil {
-		return nil, 0, errors.Join(platform.ErrMalformed, err)
+		return nil, 0, errors.Join(objectstore.ErrMalformed, err)
 	}
 	return ledger, budget.Version(obj.Version), nil
 }
@@ -271,12 +271,12 @@
 		b.learn(next, version, started, call)
 		b.settleDown(accounts, true)
 		return true
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		b.m.counters.conflict.Inc(1)
 		b.resolve(accounts, sent, (*budget.Lease).NotWritten)
 		b.refresh()
 		return false
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, objectstore.ErrAmbiguous):
 		b.m.counters.ambiguous.Inc(1)
 		b.resolve(accounts, sent, (*budget.Lease).AnswerLost)
 		b.refresh()
@@ -289,14 +289,14 @@
 	}
 }
 
-func writeLedger(ctx context.Context, store platform.Store, next *api.CustomerLedger, base budget.Version) (budget.Version, error) {
+func writeLedger(ctx context.Context, store objectstore.Store, next *api.CustomerLedger, base budget.Version) (budget.Version, error) {
 	value, err := proto.Marshal(next)
 	if err != nil {
 		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	v, err := store.Put(ctx, LedgerPrefix+next.Customer, value, platform.Version(base))
+	v, err := store.Put(ctx, LedgerPrefix+next.Customer, value, objectstore.Version(base))
 	return budget.Version(v), err
 }
 
--- a/quota/mirrored.go
+++ b/quota/mirrored.go
@@ -8,7 +8,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // mirrorStore keeps the open requests that other holders alone know. It is safe for concurrent use.
@@ -128,7 +128,7 @@
 // billingOf returns a customer's billing totals with the segments of one holder that are not yet folded in.
 func (m *Manager) billingOf(ctx context.Context, holder, customer string) (*budget.Billing, error) {
 	var segments []*api.UsageSegment
-	err := eachObject(ctx, m.cfg.Store, usagePrefix+holder+"/", func(obj platform.Object) error {
+	err := eachObject(ctx, m.cfg.Store, usagePrefix+holder+"/", func(obj objectstore.Object) error {
 		s := &api.UsageSegment{}
 		segments = append(segments, s)
 		return proto.Unmarshal(obj.Value, s)
--- a/quota/reclaim.go
+++ b/quota/reclaim.go
@@ -11,7 +11,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
 	"pumiceshelf/instance"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -47,7 +47,7 @@
 	}
 	live := m.liveIncarnations()
 	m.absences.forget(m.cfg.Clock.Now(), absenceKeep)
-	err := eachObject(ctx, m.cfg.Store, LedgerPrefix, func(obj platform.Object) error {
+	err := eachObject(ctx, m.cfg.Store, LedgerPrefix, func(obj objectstore.Object) error {
 		ledger := &api.CustomerLedger{}
 		if err := proto.Unmarshal(obj.Value, ledger); err != nil {
 			m.cfg.Log.Errorf("quota: ledger %s cannot be read: %v", obj.Key, err)
@@ -62,7 +62,7 @@
 }
 
 // eachObject calls f for each object with a prefix, in order of keys, until f returns an error.
-func eachObject(ctx context.Context, store platform.Store, prefix string, f func(platform.Object) error) error {
+func eachObject(ctx context.Context, store objectstore.Store, prefix string, f func(objectstore.Object) error) error {
 	after := ""
 	for {
 		page, err := listPageOf(ctx, store, prefix, after)
@@ -81,7 +81,7 @@
 	}
 }
 
-func listPageOf(ctx context.Context, store platform.Store, prefix, after string) ([]platform.Object, error) {
+func listPageOf(ctx context.Context, store objectstore.Store, prefix, after string) ([]objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	return store.List(ctx, prefix, after, listPage)
@@ -119,7 +119,7 @@
 	_, err := writeLedger(ctx, m.cfg.Store, next, version)
 	if err != nil {
 		m.counters.reclaimWait.Inc(int64(len(closed)))
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectstore.ErrConflict) {
 			m.cfg.Log.Debugf("quota: reclaim in ledger %s: %v", next.Customer, err)
 		}
 		return
--- a/quota/report.go
+++ b/quota/report.go
@@ -6,7 +6,7 @@
 
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 // BudgetReport is what the platform holds of a budget, in tokens.
@@ -34,7 +34,7 @@
 }
 
 // Report returns a report on each budget of a customer.
-func Report(ctx context.Context, store platform.Store, customer string) ([]BudgetReport, error) {
+func Report(ctx context.Context, store objectstore.Store, customer string) ([]BudgetReport, error) {
 	// The ledger is read first: records only grow, and reach the platform before the ledger counts them.
 	ledger, _, err := readLedger(ctx, store, customer)
 	if err != nil {
@@ -52,7 +52,7 @@
 }
 
 // foldAll returns a customer's billing totals with the segments not yet folded in.
-func foldAll(ctx context.Context, store platform.Store, customer string) (*api.CustomerBilling, error) {
+func foldAll(ctx context.Context, store objectstore.Store, customer string) (*api.CustomerBilling, error) {
 	var segments []storedSegment
 	err := eachSegment(ctx, store, func(s storedSegment) error {
 		if concerns(s, customer) {
--- a/quota/segment.go
+++ b/quota/segment.go
@@ -11,7 +11,7 @@
 	"pumiceshelf/api"
 	"pumiceshelf/budget"
 	"pumiceshelf/invariant"
-	"pumiceshelf/platform"
+	"pumiceshelf/objectstore"
 )
 
 const (
@@ -32,7 +32,7 @@
 // after a lost answer meets its own content. It is safe for concurrent use.
 type segments struct {
 	incarnation string
-	store       platform.Store
+	store       objectstore.Store
 	counters    *counters
 
 	mu      sync.Mutex
@@ -56,7 +56,7 @@
 	records  []queued
 }
 
-func newSegments(incarnation string, store platform.Store, c *counters) *segments {
+func newSegments(incarnation string, store objectstore.Store, c *counters) *segments {
 	return &segments{incarnation: incarnation, store: store, counters: c}
 }
 
@@ -146,7 +146,7 @@
 	defer cancel()
 	s.counters.segments.Inc(1)
 	_, err := s.store.Put(ctx, segmentKey(s.incarnation, f.sequence), f.value, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return nil // Only this incarnation writes the key: an earlier write took effect.
 	}
 	return err
