Route by the users' platform: the whole path, thin

Change: routing, registry, prepaid, placement, retrybudget, gateway, follow, members, logsink and router are new; platform/ translates the store, the configuration, endpoint entries and headers; deploy/ says how it is run. Ruled out: the bundle, peers and witnesses of the other path, whose grants need another instance.

--- a/cmd/pumiceshelf/main.go
+++ b/cmd/pumiceshelf/main.go
@@ -35,6 +35,7 @@
 func main() {
 	command.Main("pumiceshelf", []command.Command{
 		{Name: "run", Short: "Run one instance", Long: "Runs one instance of the fleet until SIGTERM has drained it.", Data: &runCommand{}},
+		{Name: "route", Short: "Run one routing instance", Long: "Runs one instance that routes by the configuration of a platform, until SIGTERM has drained it.", Data: &routeCommand{}},
 		{Name: "check", Short: "Check a settings file", Long: "Names each wrong field by its path, what it has and what it must be.", Data: &checkCommand{}},
 		{Name: "demo", Short: "Run everything in one process", Long: "Starts stand-ins and six instances on loopback and sends them requests.", Data: &demoCommand{}},
 	})
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/apex/log"
+
+	"pumiceshelf/placement"
+	"pumiceshelf/registry"
+	"pumiceshelf/routing"
+)
+
+// answerLimit bounds an answer that is read whole before it is passed on, in bytes.
+const answerLimit = 16 << 20
+
+// attempt is one try at one endpoint.
+type attempt struct {
+	ticket *placement.Ticket
+	cancel context.CancelFunc
+	resp   *http.Response
+	answer Answer
+}
+
+// failure is why an attempt gave the caller nothing.
+type failure struct {
+	reason reason
+	result placement.Result
+	// ran is set unless it is certain that the endpoint did not run the request.
+	ran bool
+	// sent is false if the endpoint never got a byte.
+	sent bool
+	// passOn is the endpoint's own answer to be passed on if there is no other try, nil for none.
+	passOn *whole
+}
+
+// forward sends the request to endpoints until one gives an answer or no further try is allowed.
+func (j *job) forward() *refusal {
+	g := j.gateway
+	j.tried = make(map[string]bool)
+	g.config.Retries.Request(j.service, g.config.Clock.Now())
+	for {
+		endpoints := g.config.Endpoints().Endpoints(j.service)
+		ticket := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
+		if ticket == nil {
+			return j.giveUp(failure{reason: reasonNoEndpoint})
+		}
+		f := j.try(ticket)
+		if f == nil {
+			return nil
+		}
+		if !j.mayTryAgain(f) {
+			return j.giveUp(*f)
+		}
+		g.counters.repeated[f.reason].Inc(1)
+		j.log().WithFields(log.Fields{"reason": string(f.reason), "endpoint": ticket.Endpoint.ID, "last_event": j.lastEvent}).
+			Info("gateway: trying another endpoint")
+	}
+}
+
+// try sends the request to one endpoint and passes the answer on. It returns nil once the caller has its whole answer.
+func (j *job) try(ticket *placement.Ticket) *failure {
+	clock := j.gateway.config.Clock
+	j.tried[ticket.Endpoint.ID] = true
+	j.endpoint = ticket.Endpoint.ID
+	f := j.exchange(ticket)
+	result := placement.Served
+	if f != nil {
+		result = f.result
+		if j.r.Context().Err() != nil {
+			f.reason, result = reasonCallerLeft, placement.Withdrawn
+		} else if j.ctx.Err() != nil {
+			f.reason, result = reasonTimeout, placement.Withdrawn
+		}
+		j.mayHaveRun = j.mayHaveRun || f.ran
+		if f.sent {
+			j.sent++
+		} else {
+			j.dials++
+		}
+	} else {
+		j.sent++
+		j.mayHaveRun = true
+	}
+	if until := ticket.Done(result, clock.Now()); !until.IsZero() {
+		j.log().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "reason": string(f.reason), "until_ms": until.Sub(clock.Now()).Milliseconds()}).
+			Info("gateway: endpoint left out")
+	}
+	return f
+}
+
+// mayTryAgain says whether the request may go to another endpoint after a failure.
+func (j *job) mayTryAgain(f *failure) bool {
+	switch {
+	case f.reason == reasonCallerLeft, j.ctx.Err() != nil, j.left() < leastTime:
+		return false
+	case j.mayHaveRun && !j.route.Repeatable():
+		return false
+	case !f.sent:
+		return j.dials < dialLimit
+	case j.sent >= j.route.MaxAttempts:
+		return false
+	}
+	g := j.gateway
+	if !g.config.Retries.Repeat(j.service, g.config.Clock.Now(), g.config.Instances()) {
+		j.log().WithField("reason", string(f.reason)).Info("gateway: no retry budget left")
+		return false
+	}
+	return true
+}
+
+// giveUp chooses the final word after the last failure.
+func (j *job) giveUp(f failure) *refusal {
+	switch {
+	case f.reason == reasonCallerLeft:
+		return &refusal{reason: reasonCallerLeft}
+	case f.passOn != nil && !j.headerSent:
+		j.why = f.reason
+		j.deliver(*f.passOn)
+		return nil
+	case f.reason == reasonTimeout && j.mayHaveRun:
+		return &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
+	case j.mayHaveRun:
+		return &refusal{status: http.StatusBadGateway, reason: f.reason}
+	case f.reason == reasonNoEndpoint:
+		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryLater}
+	default:
+		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retrySoon}
+	}
+}
+
+// exchange sends the request to the endpoint of the ticket and relays its answer.
+func (j *job) exchange(ticket *placement.Ticket) *failure {
+	g := j.gateway
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
+	g.counters.attempts.Inc(1)
+	resp, err := g.transport.RoundTrip(j.outgoing(ctx, ticket.Endpoint))
+	if err != nil {
+		return j.roundTripFailure(ticket, err, written.Load())
+	}
+	defer resp.Body.Close()
+	a := &attempt{ticket: ticket, cancel: cancel, resp: resp, answer: g.config.Wire.Answer(resp.StatusCode, resp.Header)}
+	if a.answer.RequestID != "" && a.answer.RequestID != j.meta.ID {
+		j.log().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.answer.RequestID}).Warn("gateway: answer of another request dropped")
+		return &failure{reason: reasonCrossed, result: placement.Served, ran: true, sent: true}
+	}
+	if a.answer.Load != nil {
+		ticket.Report(*a.answer.Load, g.config.Clock.Now())
+	}
+	if a.answer.NotRun {
+		return j.notRun(a)
+	}
+	if j.route.Mode == routing.Streaming && resp.StatusCode/100 == 2 {
+		return j.relayStream(a)
+	}
+	return j.relayWhole(a)
+}
+
+// outgoing builds the request for an endpoint. Method, path, query and body are the caller's.
+func (j *job) outgoing(ctx context.Context, e registry.Endpoint) *http.Request {
+	forwarded := Forwarded{Deadline: j.left(), EndpointID: e.ID, Priority: -1}
+	if j.customer != nil {
+		forwarded.Customer = j.customer.Name
+	}
+	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
+		forwarded.Priority = enginePriority(j.rank())
+	}
+	if j.events > 0 {
+		forwarded.ResumeAfter = strconv.FormatInt(j.lastEvent, 10)
+	}
+	req := &http.Request{
+		Method: j.r.Method,
+		URL:    target(j.r, e.Address),
+		Host:   j.r.Host,
+		Header: j.gateway.config.Wire.Forward(j.r.Header, forwarded),
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		// Without GetBody the transport never sends a request again on its own.
+		Body:          io.NopCloser(bytes.NewReader(j.body)),
+		ContentLength: int64(len(j.body)),
+	}
+	return req.WithContext(ctx)
+}
+
+// target keeps the caller's path and query byte for byte.
+func target(r *http.Request, address string) *url.URL {
+	u := *r.URL
+	u.Scheme, u.Host = "http", address
+	path, query, has := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		u.Opaque, u.RawQuery, u.ForceQuery = path, query, has && query == ""
+	}
+	return &u
+}
+
+// rank is the customer's priority if it has one, else the route's.
+func (j *job) rank() int {
+	if j.customer != nil && j.customer.Priority != nil {
+		return *j.customer.Priority
+	}
+	return j.route.Priority
+}
+
+func (j *job) roundTripFailure(ticket *placement.Ticket, err error, written bool) *failure {
+	j.log().WithField("endpoint", ticket.Endpoint.ID).WithField("written", written).WithError(err).Info("gateway: no answer")
+	var dial *dialError
+	if errors.As(err, &dial) || !written {
+		return &failure{reason: reasonUnreachable, result: placement.Unreachable}
+	}
+	return &failure{reason: reasonLost, result: placement.Broken, ran: true, sent: true}
+}
+
+// notRun takes in that the endpoint did not run the request.
+func (j *job) notRun(a *attempt) *failure {
+	if a.answer.OtherEndpoint {
+		return &failure{reason: reasonMoved, result: placement.Unreachable, sent: true}
+	}
+	return &failure{reason: reasonBusy, result: placement.Busy, sent: true}
+}
+
+func (j *job) log() *log.Entry {
+	return j.gateway.config.Log.WithField("request_id", j.meta.ID)
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,246 @@
+// Package members lets instances find each other through the object store and ask each other for newer copies of what
+// the store holds, while the store refuses some of them. No promise rests on the list of members: it gives addresses to
+// ask and a number to share bounds by.
+package members
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/encoding/protojson"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"pumiceshelf/api"
+	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
+)
+
+const (
+	// Collection holds an object for each instance.
+	Collection = "pumiceshelf-instances"
+	// listInterval is the time between two listings of the members.
+	listInterval = 5 * time.Second
+	// callTimeout bounds a question to another instance, which is some milliseconds away.
+	callTimeout = 300 * time.Millisecond
+	// askedAtOnce is how many instances are asked side by side: some may be cut off too.
+	askedAtOnce = 3
+)
+
+// Config of Members.
+type Config struct {
+	Store       objectstore.Store
+	Collections objectstore.Collections
+	Incarnation instance.Incarnation
+	// Self is what others see of this instance.
+	Self *api.FleetMember
+	// Seeds are peer addresses known at the start.
+	Seeds []string
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	Clock clockwork.Clock
+	Log   log.Interface
+	// Configuration and Endpoints return what this instance holds, for others that ask.
+	Configuration, Endpoints func() *objectstore.Listing
+}
+
+// Members is the list of instances. It is safe for concurrent use.
+type Members struct {
+	config Config
+	list   atomic.Pointer[[]*api.FleetMember]
+	// version of the own entry; zero when it is not in the store.
+	version objectstore.Version
+}
+
+// New returns a list that knows the seeds only.
+func New(c Config) *Members { return &Members{config: c} }
+
+// Count returns how many instances there are as far as is known, itself included.
+func (m *Members) Count() int {
+	if l := m.list.Load(); l != nil {
+		return max(len(*l), 1)
+	}
+	return max(len(m.config.Seeds), 1)
+}
+
+// Run registers this instance and lists the others until the context ends.
+func (m *Members) Run(ctx context.Context) error {
+	for {
+		if err := m.refresh(ctx); err != nil && ctx.Err() == nil {
+			m.config.Log.WithError(err).Debug("members: not refreshed")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.config.Clock.After(listInterval/2 + rand.N(listInterval)):
+		}
+	}
+}
+
+func (m *Members) refresh(ctx context.Context) error {
+	if err := m.register(ctx); err != nil {
+		return err
+	}
+	l, err := m.config.Collections.ListAll(ctx, Collection)
+	if err != nil {
+		return err
+	}
+	var list []*api.FleetMember
+	for _, o := range l.Objects {
+		member := &api.FleetMember{}
+		if err := protojson.Unmarshal(o.Value, member); err != nil {
+			m.config.Log.WithField("key", o.Key).WithError(err).Warn("members: entry not readable")
+			continue
+		}
+		list = append(list, member)
+	}
+	m.list.Store(&list)
+	return nil
+}
+
+func (m *Members) key() string { return Collection + "/" + m.config.Incarnation.Name() }
+
+// register writes this instance's entry once. An entry of an earlier incarnation is replaced.
+func (m *Members) register(ctx context.Context) error {
+	if m.version != 0 {
+		return nil
+	}
+	value, err := protojson.Marshal(m.config.Self)
+	if err != nil {
+		return fmt.Errorf("members: encode entry: %w", err)
+	}
+	var expected objectstore.Version
+	for range 2 {
+		version, err := m.config.Store.Put(ctx, m.key(), value, expected)
+		var conflict *objectstore.ConflictError
+		if errors.As(err, &conflict) {
+			expected = conflict.Current.Version
+			continue
+		}
+		if err == nil {
+			m.version = version
+		}
+		return err
+	}
+	return objectstore.ErrConflict
+}
+
+// Leave removes this instance's entry. Run must have returned.
+func (m *Members) Leave(ctx context.Context) error {
+	if m.version == 0 {
+		return nil
+	}
+	return m.config.Store.Delete(ctx, m.key(), m.version)
+}
+
+// NewestConfiguration asks some instances for a configuration newer than a revision.
+func (m *Members) NewestConfiguration(ctx context.Context, after objectstore.Revision) (objectstore.Listing, bool) {
+	return m.newest(ctx, &api.NewestRequest{ConfigurationRevision: uint64(after), EndpointsRevision: ^uint64(0)},
+		(*api.NewestReply).GetConfiguration)
+}
+
+// NewestEndpoints asks some instances for endpoints newer than a revision.
+func (m *Members) NewestEndpoints(ctx context.Context, after objectstore.Revision) (objectstore.Listing, bool) {
+	return m.newest(ctx, &api.NewestRequest{ConfigurationRevision: ^uint64(0), EndpointsRevision: uint64(after)},
+		(*api.NewestReply).GetEndpoints)
+}
+
+func (m *Members) newest(ctx context.Context, q *api.NewestRequest, pick func(*api.NewestReply) *api.Collection) (objectstore.Listing, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	addresses := m.addresses()
+	answers := make(chan *api.Collection, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			reply, err := m.ask(ctx, address, q)
+			if err != nil && !errors.Is(err, context.Canceled) {
+				m.config.Log.WithField("address", address).WithError(err).Debug("members: instance not asked")
+			}
+			answers <- pick(reply)
+		}()
+	}
+	var best *api.Collection
+	for range addresses {
+		if c := <-answers; c != nil && c.Revision > best.GetRevision() {
+			best = c
+		}
+	}
+	return decode(best), best != nil
+}
+
+// addresses returns those of some other instances, drawn at random.
+func (m *Members) addresses() []string {
+	seen := map[string]bool{m.config.Self.PeerAddress: true, "": true}
+	var out []string
+	add := func(a string) {
+		if !seen[a] {
+			seen[a] = true
+			out = append(out, a)
+		}
+	}
+	if l := m.list.Load(); l != nil {
+		for _, member := range *l {
+			add(member.PeerAddress)
+		}
+	}
+	if len(out) == 0 {
+		for _, a := range m.config.Seeds {
+			add(a)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), askedAtOnce)]
+}
+
+func (m *Members) ask(ctx context.Context, address string, q *api.NewestRequest) (*api.NewestReply, error) {
+	conn, err := m.config.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	client := drpcconn.New(conn)
+	defer client.Close()
+	return api.NewDRPCFleetClient(client).Newest(ctx, q)
+}
+
+// Serve answers other instances on the listener until the context ends.
+func (m *Members) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := api.DRPCRegisterFleet(mux, m); err != nil {
+		return fmt.Errorf("members: register service: %w", err)
+	}
+	return drpcserver.New(mux).Serve(ctx, l)
+}
+
+// Newest implements the Fleet service.
+func (m *Members) Newest(_ context.Context, q *api.NewestRequest) (*api.NewestReply, error) {
+	return &api.NewestReply{
+		Configuration: encodeNewer(m.config.Configuration(), q.ConfigurationRevision),
+		Endpoints:     encodeNewer(m.config.Endpoints(), q.EndpointsRevision),
+	}, nil
+}
+
+func encodeNewer(l *objectstore.Listing, after uint64) *api.Collection {
+	if l == nil || uint64(l.Revision) <= after {
+		return nil
+	}
+	out := &api.Collection{Revision: uint64(l.Revision)}
+	for _, o := range l.Objects {
+		out.Objects = append(out.Objects, &api.StoredObject{Key: o.Key, Version: uint64(o.Version), Value: o.Value})
+	}
+	return out
+}
+
+func decode(c *api.Collection) objectstore.Listing {
+	out := objectstore.Listing{Revision: objectstore.Revision(c.GetRevision())}
+	for _, o := range c.GetObjects() {
+		out.Objects = append(out.Objects, objectstore.Object{Key: o.Key, Version: objectstore.Version(o.Version), Value: o.Value})
+	}
+	return out
+}
--- /dev/null
+++ b/prepaid/keeper.go
@@ -0,0 +1,410 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"pumiceshelf/instance"
+	"pumiceshelf/objectstore"
+	"pumiceshelf/telemetry"
+)
+
+const (
+	// tickInterval is the time between two looks at the sizes of leases.
+	tickInterval = 500 * time.Millisecond
+	// waitLimit is the longest wait of a request for a larger lease: some dozens of answers of the store.
+	waitLimit = 400 * time.Millisecond
+	// freshFor is how long a reading of the ledger answers for an exhausted budget without another one.
+	freshFor = 400 * time.Millisecond
+	// conflictLimit bounds the updates of one round that lose against other instances.
+	conflictLimit = 8
+	// rereadAfter is how old the ledger may get: leases shrink as the budget does, so its state must be known.
+	rereadAfter = 2 * time.Second
+	// outagePause is the time after a failed call in which requests that need the store are refused at once.
+	outagePause = 250 * time.Millisecond
+)
+
+var (
+	descGranted     = telemetry.Describe("prepaid.reserve.granted", "requests", "Reservations granted.")
+	descExhausted   = telemetry.Describe("prepaid.reserve.exhausted", "requests", "Reservations refused because the budget does not cover them.")
+	descUnavailable = telemetry.Describe("prepaid.reserve.unavailable", "requests", "Reservations refused because the ledger could not be reached.")
+	descUpdates     = telemetry.Describe("prepaid.ledger.updates", "updates", "Updates of the ledger that were acknowledged.")
+	descConflicts   = telemetry.Describe("prepaid.ledger.conflicts", "updates", "Updates of the ledger that lost against another instance.")
+	descParked      = telemetry.Describe("prepaid.ledger.parked", "tokens", "Tokens of leases of earlier incarnations that were closed unspent or not.")
+)
+
+// Config of a Keeper.
+type Config struct {
+	Store       objectstore.Store
+	Incarnation instance.Incarnation
+	Clock       clockwork.Clock
+	Log         log.Interface
+	Metrics     metrics.Registry
+	// Prepaid returns the customer's prepaid total of the configuration in force, false if it has none.
+	Prepaid func(customer string) (int64, bool)
+	// Customers returns the names of all customers with a prepaid total.
+	Customers func() []string
+	// Instances returns how many instances share the budgets.
+	Instances func() int
+}
+
+// Keeper reserves and settles tokens and keeps this instance's leases. It is safe for concurrent use.
+type Keeper struct {
+	config  Config
+	kick    chan struct{}
+	failing atomic.Int64
+
+	mu       sync.Mutex
+	accounts map[string]*account
+
+	// The fields below belong to the goroutine of Run.
+	ledger  ledger
+	version objectstore.Version
+	// known is false until the ledger has been read, and again after an update whose answer was lost.
+	known  bool
+	readAt time.Time
+	// unsettled is the version that the last update with a lost answer expected. Until the ledger is past it, that update
+	// may still take effect.
+	unsettled  objectstore.Version
+	fenced     bool
+	started    bool
+	observedAt time.Time
+	// away is set while the ledger cannot be reached, for the log.
+	away bool
+
+	granted, exhausted, unavailable, updates, conflicts, parked metrics.Counter
+}
+
+// NewKeeper returns a keeper without leases. Run must be called for it to get any.
+func NewKeeper(c Config) *Keeper {
+	r := c.Metrics
+	return &Keeper{
+		config: c, kick: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
+		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r),
+		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
+	}
+}
+
+// Reservation is a number of tokens that a request may spend.
+type Reservation struct {
+	account *account
+	tokens  int64
+	once    sync.Once
+}
+
+// Settle gives back what the request did not spend. Further calls do nothing.
+func (r *Reservation) Settle(spent int64) {
+	if r == nil || r.account == nil {
+		return
+	}
+	r.once.Do(func() { r.account.settle(r.tokens, min(max(spent, 0), r.tokens)) })
+}
+
+// Reserve reserves tokens of a customer's budget. It waits for the ledger only when the lease does not cover them.
+func (k *Keeper) Reserve(ctx context.Context, customer string, tokens int64) (*Reservation, Outcome) {
+	if _, limited := k.config.Prepaid(customer); !limited {
+		return &Reservation{}, Granted
+	}
+	a := k.account(customer)
+	outcome := k.reserve(ctx, a, tokens)
+	switch outcome {
+	case Granted:
+		k.granted.Inc(1)
+		return &Reservation{account: a, tokens: tokens}, Granted
+	case Exhausted:
+		k.exhausted.Inc(1)
+	case Unavailable:
+		k.unavailable.Inc(1)
+	}
+	return nil, outcome
+}
+
+func (k *Keeper) reserve(ctx context.Context, a *account, tokens int64) Outcome {
+	if a.reserve(tokens) {
+		return Granted
+	}
+	now := k.config.Clock.Now()
+	if left, fresh := a.known(now.Add(-freshFor)); fresh && tokens > left {
+		return Exhausted
+	}
+	if at := k.failing.Load(); at != 0 && now.UnixNano()-at < int64(outagePause) {
+		return Unavailable
+	}
+	w, e := a.wait(tokens)
+	k.wake()
+	timeout := k.config.Clock.After(waitLimit)
+	select {
+	case o := <-w.done:
+		return o
+	case <-timeout:
+	case <-ctx.Done():
+	}
+	if a.leave(e) {
+		return Unavailable
+	}
+	return <-w.done
+}
+
+// Run keeps the leases until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := k.config.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	k.observedAt = k.config.Clock.Now()
+	for {
+		k.round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			k.observe()
+		case <-k.kick:
+		}
+	}
+}
+
+// Close gives back all that is unspent. Reservations must be settled before; Run must have returned.
+func (k *Keeper) Close(ctx context.Context) error {
+	for range conflictLimit {
+		if !k.known {
+			if err := k.read(ctx); err != nil {
+				return err
+			}
+		}
+		next := k.ledger.clone()
+		for name, a := range k.snapshot() {
+			if next.lease(name, k.config.Incarnation) > 0 {
+				next.close(name, k.config.Incarnation, a.lower(0))
+			}
+		}
+		err := k.write(ctx, next)
+		if !errors.Is(err, objectstore.ErrConflict) {
+			return err
+		}
+	}
+	return objectstore.ErrConflict
+}
+
+func (k *Keeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) account(customer string) *account {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := k.accounts[customer]
+	if a == nil {
+		a = &account{}
+		k.accounts[customer] = a
+	}
+	return a
+}
+
+func (k *Keeper) snapshot() map[string]*account {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[string]*account, len(k.accounts))
+	for name, a := range k.accounts {
+		out[name] = a
+	}
+	return out
+}
+
+func (k *Keeper) observe() {
+	now := k.config.Clock.Now()
+	for _, a := range k.snapshot() {
+		a.observe(now.Sub(k.observedAt))
+	}
+	k.observedAt = now
+}
+
+// round brings the leases in the ledger to their next sizes and ends waiters that cannot be served.
+func (k *Keeper) round(ctx context.Context) {
+	customers := k.config.Customers()
+	if len(customers) == 0 {
+		return
+	}
+	for _, c := range customers {
+		k.account(c)
+	}
+	err := k.update(ctx)
+	k.note(err)
+	for _, a := range k.snapshot() {
+		a.refuse(err == nil)
+	}
+}
+
+func (k *Keeper) update(ctx context.Context) error {
+	if k.outdated() {
+		k.known = false
+	}
+	for range conflictLimit {
+		if !k.known {
+			if err := k.read(ctx); err != nil {
+				return err
+			}
+		}
+		next, changed := k.plan()
+		if !changed {
+			k.adopt()
+			return nil
+		}
+		err := k.write(ctx, next)
+		if !errors.Is(err, objectstore.ErrConflict) {
+			return err
+		}
+		k.conflicts.Inc(1)
+	}
+	return objectstore.ErrConflict
+}
+
+// outdated says whether the ledger must be read again: it is old, or it would refuse a waiter and is not fresh.
+func (k *Keeper) outdated() bool {
+	age := k.config.Clock.Since(k.readAt)
+	if age > rereadAfter {
+		return true
+	}
+	if age <= freshFor {
+		return false
+	}
+	for _, a := range k.snapshot() {
+		if a.short() {
+			return true
+		}
+	}
+	return false
+}
+
+// plan returns the ledger with this instance's leases at their next sizes. A lease that shrinks is lowered at once.
+func (k *Keeper) plan() (ledger, bool) {
+	next := k.ledger.clone()
+	next.message.Updates++
+	changed := k.fenced
+	if !k.started {
+		for customer, tokens := range next.closePredecessors(k.config.Incarnation) {
+			changed = true
+			k.parked.Inc(tokens)
+			k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier start closed")
+		}
+	}
+	holders := max(k.config.Instances(), 1)
+	for customer, a := range k.snapshot() {
+		prepaid, limited := k.config.Prepaid(customer)
+		if !limited {
+			continue
+		}
+		remaining := max(prepaid-k.ledger.handedOut(customer), 0)
+		d := a.demand()
+		if d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) {
+			// A later start of this instance has closed the lease.
+			continue
+		}
+		limit := nextLimit(d, remaining, holders)
+		if limit < d.limit {
+			limit = a.lower(limit)
+		}
+		if limit != k.ledger.lease(customer, k.config.Incarnation) {
+			next.setLease(customer, k.config.Incarnation, limit, prepaid)
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// read takes in the ledger as it is.
+func (k *Keeper) read(ctx context.Context) error {
+	obj, err := k.config.Store.Get(ctx, LedgerKey)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		k.set(newLedger(), 0)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return k.take(obj)
+}
+
+func (k *Keeper) take(obj objectstore.Object) error {
+	l, err := decodeLedger(obj.Value)
+	if err != nil {
+		return err
+	}
+	k.set(l, obj.Version)
+	return nil
+}
+
+func (k *Keeper) set(l ledger, version objectstore.Version) {
+	k.ledger, k.version, k.known, k.readAt = l, version, true, k.config.Clock.Now()
+	k.fenced = k.fenced && version <= k.unsettled
+}
+
+// write replaces the ledger if it is still at the version read. After a lost answer the update may still be under way. It
+// can take effect only while the ledger is at the version that it expected, so the ledger is read, and no lease grows
+// by reading alone until another update has moved it past that version.
+func (k *Keeper) write(ctx context.Context, next ledger) error {
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	version, err := k.config.Store.Put(ctx, LedgerKey, value, k.version)
+	var conflict *objectstore.ConflictError
+	switch {
+	case err == nil:
+		k.set(next, version)
+		k.started = true
+		k.updates.Inc(1)
+		k.adopt()
+	case errors.As(err, &conflict):
+		if takeErr := k.take(conflict.Current); takeErr != nil {
+			k.known = false
+			return takeErr
+		}
+	case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrUnavailable):
+		k.known = false
+	default:
+		k.known, k.fenced, k.unsettled = false, true, k.version
+	}
+	return err
+}
+
+// adopt passes the ledger on to the accounts. A lease that is being lowered stays low until the ledger says so too.
+func (k *Keeper) adopt() {
+	for customer, a := range k.snapshot() {
+		prepaid, _ := k.config.Prepaid(customer)
+		remaining := max(prepaid-k.ledger.handedOut(customer), 0)
+		if !k.ledger.holds(customer, k.config.Incarnation) {
+			// Nothing was ever taken, or a later start of this instance has closed the lease.
+			a.freeze(remaining, k.readAt)
+			continue
+		}
+		a.adopt(k.ledger.lease(customer, k.config.Incarnation), remaining, k.readAt)
+	}
+	k.failing.Store(0)
+}
+
+func (k *Keeper) note(err error) {
+	if err != nil {
+		k.failing.Store(k.config.Clock.Now().UnixNano())
+	} else {
+		k.failing.Store(0)
+	}
+	if (err != nil) == k.away {
+		return
+	}
+	k.away = err != nil
+	entry := k.config.Log.WithField("ledger_version", uint64(k.version))
+	if k.away {
+		entry.WithError(err).Warn("prepaid: ledger lost")
+	} else {
+		entry.Info("prepaid: ledger regained")
+	}
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is a compiled Config. It is immutable.
+type Table struct {
+	config    Config
+	hosts     map[string][]*Route
+	services  map[string]*Service
+	byKey     map[string]*Customer
+	customers map[string]*Customer
+}
+
+// Compile prepares a configuration for requests.
+func Compile(c Config) *Table {
+	t := &Table{
+		config:    c,
+		hosts:     make(map[string][]*Route),
+		services:  make(map[string]*Service),
+		byKey:     make(map[string]*Customer),
+		customers: make(map[string]*Customer),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Customers {
+		customer := &c.Customers[i]
+		t.customers[customer.Name] = customer
+		for _, key := range customer.Keys {
+			t.byKey[key] = customer
+		}
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Limits returns the bounds on what callers may send.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Customers returns all customers.
+func (t *Table) Customers() []Customer { return t.config.Customers }
+
+// Services returns all services.
+func (t *Table) Services() []Service { return t.config.Services }
+
+// Match returns the route of the host with the longest path prefix that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// CustomerOf returns the owner of a key, or nil.
+func (t *Table) CustomerOf(key string) *Customer { return t.byKey[key] }
+
+// Customer returns the customer of a name, or nil.
+func (t *Table) Customer(name string) *Customer { return t.customers[name] }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// RequiresKey says whether the configuration has customers, so that routes that are not public need a key.
+func (t *Table) RequiresKey() bool { return len(t.config.Customers) > 0 }
+
+// Pick chooses a target by weight; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) (service string, ok bool) {
+	total := 0
+	for _, target := range r.Targets {
+		total += max(target.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Targets) == 0 {
+			return "", false
+		}
+		return r.Targets[0].Service, true
+	}
+	at := draw * float64(total)
+	for _, target := range r.Targets {
+		at -= float64(max(target.Weight, 0))
+		if at < 0 {
+			return target.Service, true
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service, true
+}
+
+// Repeatable says whether a request of the route may run more than once. Only the part after the events that arrived
+// runs again for a resumable stream.
+func (r *Route) Repeatable() bool {
+	return r.Mode == Idempotent || r.Mode == Streaming && r.Resumable
+}
