--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -296,19 +296,19 @@
 			k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier start closed")
 		}
 	}
-	holders := max(k.config.Instances(), 1)
 	for customer, a := range k.snapshot() {
 		prepaid, limited := k.config.Prepaid(customer)
 		if !limited {
 			continue
 		}
-		remaining := max(prepaid-k.ledger.handedOut(customer), 0)
+		handedOut := k.ledger.handedOut(customer)
+		remaining := max(prepaid-handedOut, 0)
 		d := a.demand()
 		if d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) {
 			// A later start of this instance has closed the lease.
 			continue
 		}
-		limit := nextLimit(d, remaining, holders)
+		limit := nextLimit(d, remaining, trafficShare(d.limit, handedOut, k.config.Instances()))
 		if limit < d.limit {
 			limit = a.lower(limit)
 		}
