Take no request later than 2.5 s after SIGTERM

Change: the front is shut down once the balancer has taken the instance out; requests in progress go on. Ruled out: refusing late requests with 503, which costs callers a retry where a closed idle connection costs none.

--- a/router/router.go
+++ b/router/router.go
@@ -32,13 +32,11 @@
 )
 
 const (
-	// drainLeast is how long an instance that leaves still takes connections: the balancer asks once a second and takes
-	// it out after two answers that it is not ready.
-	drainLeast = 2500 * time.Millisecond
+	// drainOpen is how long an instance that leaves still takes requests: the balancer asks once a second and takes it
+	// out after two answers that it is not ready.
+	drainOpen = 2500 * time.Millisecond
 	// drainReserve is kept of the grace for giving back leases and ending the process.
 	drainReserve = 1200 * time.Millisecond
-	// drainPoll is how often a leaving instance looks for requests in progress.
-	drainPoll = 50 * time.Millisecond
 	// closeTimeout bounds giving back leases at the end.
 	closeTimeout = 700 * time.Millisecond
 	// headerTimeout and idleTimeout bound what callers may take; both are longer than the configurations' own limits.
@@ -250,15 +248,13 @@
 // drain stops taking connections and waits for requests in progress.
 func (r *Router) drain() {
 	clock := r.config.Clock
-	started := clock.Now()
 	r.leaving.Store(true)
 	r.gateway.Leave()
 	r.config.Log.WithField("in_flight", r.gateway.InFlight()).Info("router: draining")
-	last := started.Add(r.config.Settings.Grace.AsDuration() - drainReserve)
-	for clock.Now().Before(last) && (clock.Since(started) < drainLeast || r.gateway.InFlight() > 0) {
-		clock.Sleep(drainPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), drainPoll)
+	grace := r.config.Settings.Grace.AsDuration()
+	clock.Sleep(min(drainOpen, grace/2))
+	// From here on no request is taken: one taken late could not be finished within the grace.
+	ctx, cancel := clockwork.WithTimeout(context.Background(), clock, grace-min(drainOpen, grace/2)-drainReserve)
 	defer cancel()
 	if err := r.front.Shutdown(ctx); err != nil {
 		r.config.Log.WithField("in_flight", r.gateway.InFlight()).Warn("router: requests cut off at the end of the grace")
