Lend tokens between instances while the store is away

Cause: customers keep to a zone, so in a cut from the store one instance runs dry while others hold unused leases. Change: an instance whose lease runs out asks a few others; what they give counts as spent with them, so no sum grows. All leases are filled up with one update.

--- a/members/members.go
+++ b/members/members.go
@@ -31,8 +31,10 @@
 	listInterval = 5 * time.Second
 	// callTimeout bounds a question to another instance, which is some milliseconds away.
 	callTimeout = 300 * time.Millisecond
-	// askedAtOnce is how many instances are asked side by side: some may be cut off too.
-	askedAtOnce = 3
+	// borrowTimeout bounds asking several instances for tokens, while requests wait for them.
+	borrowTimeout = 300 * time.Millisecond
+	// askedAtOnce is how many instances are asked: some may be cut off too.
+	askedAtOnce = 4
 )
 
 // Config of Members.
@@ -49,6 +51,8 @@
 	Log   log.Interface
 	// Configuration and Endpoints return what this instance holds, for others that ask.
 	Configuration, Endpoints func() *objectstore.Listing
+	// Lend gives up to the given tokens of this instance's lease of a customer's budget away.
+	Lend func(customer string, tokens int64) int64
 }
 
 // Members is the list of instances. It is safe for concurrent use.
@@ -175,6 +179,45 @@
 	return decode(best), best != nil
 }
 
+// Borrow asks some instances for a part of their leases of a customer's budget, one after the other, until it has the
+// tokens wanted. It returns what it got.
+func (m *Members) Borrow(ctx context.Context, customer string, tokens int64) int64 {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	got := int64(0)
+	for _, address := range m.addresses() {
+		if got >= tokens || ctx.Err() != nil {
+			break
+		}
+		got += m.borrowFrom(ctx, address, &api.LendRequest{Customer: customer, Tokens: tokens - got})
+	}
+	return got
+}
+
+// borrowFrom asks one instance. Tokens whose answer is lost are spent by nobody.
+func (m *Members) borrowFrom(ctx context.Context, address string, q *api.LendRequest) int64 {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	conn, err := m.config.Dial(ctx, address)
+	if err != nil {
+		m.config.Log.WithField("address", address).WithError(err).Debug("members: nothing borrowed")
+		return 0
+	}
+	client := drpcconn.New(conn)
+	defer client.Close()
+	reply, err := api.NewDRPCFleetClient(client).Lend(ctx, q)
+	if err != nil {
+		m.config.Log.WithField("address", address).WithError(err).Debug("members: nothing borrowed")
+		return 0
+	}
+	return min(max(reply.Tokens, 0), q.Tokens)
+}
+
+// Lend implements the Fleet service.
+func (m *Members) Lend(_ context.Context, q *api.LendRequest) (*api.LendReply, error) {
+	return &api.LendReply{Tokens: m.config.Lend(q.Customer, max(q.Tokens, 0))}, nil
+}
+
 // addresses returns those of some other instances, drawn at random.
 func (m *Members) addresses() []string {
 	seen := map[string]bool{m.config.Self.PeerAddress: true, "": true}
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -28,8 +28,10 @@
 // Invariant: used <= limit, where limit is at most what the ledger allows this incarnation.
 type account struct {
 	mu sync.Mutex
-	// limit is what this incarnation may spend in total, in tokens.
+	// limit is what this incarnation may spend in total, in tokens: its lease and what it borrowed.
 	limit int64
+	// borrowed is what other instances gave away from their leases, in total.
+	borrowed int64
 	// used is what was spent and what open reservations may still spend.
 	used int64
 	// remaining is what the ledger had not handed out at readAt.
@@ -37,6 +39,8 @@
 	readAt    time.Time
 	// waiters are reservations that wait for a larger lease, in order of arrival.
 	waiters list.List
+	// loanFailedAt is when a loan last fell short.
+	loanFailedAt time.Time
 	// ratePerSecond is the average of tokens used, and lastUsed what it was counted up to.
 	ratePerSecond float64
 	lastUsed      int64
@@ -110,6 +114,7 @@
 func (a *account) adopt(limit, remaining int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	limit += a.borrowed
 	invariant.Check(limit >= a.used, part, "lease of %d tokens is below the %d used", limit, a.used)
 	a.limit, a.remaining, a.readAt = limit, remaining, now
 	a.serveWaiters()
@@ -119,7 +124,7 @@
 func (a *account) freeze(remaining int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limit, a.remaining, a.readAt = a.used, remaining, now
+	a.limit, a.remaining, a.readAt = max(a.used, a.borrowed), remaining, now
 }
 
 // short says whether a waiter needs more than the lease and the remaining budget have.
@@ -135,11 +140,34 @@
 }
 
 // lower gives up a part of the lease before the ledger is told, so that a late or lost answer cannot lead to overspending.
+// It returns the lease that is left.
 func (a *account) lower(limit int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limit = min(a.limit, max(limit, a.used))
-	return a.limit
+	a.limit = min(a.limit, max(limit, a.used, a.borrowed))
+	return a.limit - a.borrowed
+}
+
+// lend gives tokens away, at most half of what this instance does not need in the next moments. They count as spent here.
+func (a *account) lend(tokens int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiters.Len() > 0 {
+		return 0
+	}
+	spare := a.limit - a.used - int64(a.ratePerSecond*lendReserve.Seconds())
+	given := min(tokens, max(spare, 0)/2)
+	a.used += given
+	return given
+}
+
+// borrow takes in tokens that another instance gave away.
+func (a *account) borrow(tokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrowed += tokens
+	a.limit += tokens
+	a.serveWaiters()
 }
 
 // refuse ends the waiters that the remaining budget cannot cover as exhausted, or all as unavailable.
@@ -164,7 +192,7 @@
 
 // demand is what the next update of the ledger should know about an account.
 type demand struct {
-	limit, used int64
+	limit, used, borrowed int64
 	// waiting is the sum that waiters lack.
 	waiting       int64
 	ratePerSecond float64
@@ -173,7 +201,7 @@
 func (a *account) demand() demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := demand{limit: a.limit, used: a.used, ratePerSecond: a.ratePerSecond}
+	d := demand{limit: a.limit, used: a.used, borrowed: a.borrowed, ratePerSecond: a.ratePerSecond}
 	for e := a.waiters.Front(); e != nil; e = e.Next() {
 		d.waiting += e.Value.(*waiter).tokens
 	}
@@ -198,3 +226,17 @@
 	defer a.mu.Unlock()
 	return a.limit - a.used + a.remaining, !a.readAt.Before(since) && !a.readAt.IsZero()
 }
+
+// noteLoan notes that a loan fell short.
+func (a *account) noteLoan(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loanFailedAt = now
+}
+
+// refusedLoan says whether a loan fell short a moment ago.
+func (a *account) refusedLoan(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.loanFailedAt.IsZero() && now.Sub(a.loanFailedAt) < loanPause
+}
--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -27,8 +27,11 @@
 	conflictLimit = 8
 	// rereadAfter is how old the ledger may get: leases shrink as the budget does, so its state must be known.
 	rereadAfter = 2 * time.Second
-	// outagePause is the time after a failed call in which requests that need the store are refused at once.
-	outagePause = 250 * time.Millisecond
+	// outageMemory is the time after a failed call in which the store counts as away: longer than a call that gets no
+	// answer takes.
+	outageMemory = 2500 * time.Millisecond
+	// loanPause is the time after a loan that fell short in which no other is asked for.
+	loanPause = 400 * time.Millisecond
 )
 
 var (
@@ -37,6 +40,8 @@
 	descUnavailable = telemetry.Describe("prepaid.reserve.unavailable", "requests", "Reservations refused because the ledger could not be reached.")
 	descUpdates     = telemetry.Describe("prepaid.ledger.updates", "updates", "Updates of the ledger that were acknowledged.")
 	descConflicts   = telemetry.Describe("prepaid.ledger.conflicts", "updates", "Updates of the ledger that lost against another instance.")
+	descBorrowed    = telemetry.Describe("prepaid.loan.borrowed", "tokens", "Tokens that other instances gave to this one.")
+	descLent        = telemetry.Describe("prepaid.loan.lent", "tokens", "Tokens that this instance gave to others.")
 	descParked      = telemetry.Describe("prepaid.ledger.parked", "tokens", "Tokens of leases of earlier incarnations that were closed unspent or not.")
 )
 
@@ -51,6 +56,8 @@
 	Prepaid func(customer string) (int64, bool)
 	// Customers returns the names of all customers with a prepaid total.
 	Customers func() []string
+	// Borrow asks other instances for a part of their leases; nil for none to ask. It returns what it got.
+	Borrow func(ctx context.Context, customer string, tokens int64) int64
 	// Instances returns how many instances share the budgets.
 	Instances func() int
 }
@@ -59,6 +66,7 @@
 type Keeper struct {
 	config  Config
 	kick    chan struct{}
+	borrow  chan struct{}
 	failing atomic.Int64
 
 	mu       sync.Mutex
@@ -79,16 +87,17 @@
 	// away is set while the ledger cannot be reached, for the log.
 	away bool
 
-	granted, exhausted, unavailable, updates, conflicts, parked metrics.Counter
+	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent metrics.Counter
 }
 
 // NewKeeper returns a keeper without leases. Run must be called for it to get any.
 func NewKeeper(c Config) *Keeper {
 	r := c.Metrics
 	return &Keeper{
-		config: c, kick: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
+		config: c, kick: make(chan struct{}, 1), borrow: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
 		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
+		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r),
 	}
 }
 
@@ -134,11 +143,14 @@
 	if left, fresh := a.known(now.Add(-freshFor)); fresh && tokens > left {
 		return Exhausted
 	}
-	if at := k.failing.Load(); at != 0 && now.UnixNano()-at < int64(outagePause) {
+	if k.storeAway(now) && (k.config.Borrow == nil || a.refusedLoan(now)) {
 		return Unavailable
 	}
 	w, e := a.wait(tokens)
-	k.wake()
+	wake(k.kick)
+	if k.storeAway(now) {
+		wake(k.borrow)
+	}
 	timeout := k.config.Clock.After(waitLimit)
 	select {
 	case o := <-w.done:
@@ -191,13 +203,66 @@
 	return objectstore.ErrConflict
 }
 
-func (k *Keeper) wake() {
+// storeAway says whether the last call to the store failed a moment ago.
+func (k *Keeper) storeAway(now time.Time) bool {
+	at := k.failing.Load()
+	return at != 0 && now.UnixNano()-at < int64(outageMemory)
+}
+
+func wake(c chan struct{}) {
 	select {
-	case k.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// Lend gives tokens of this instance's lease to another one. They count as spent here, so that the other may spend them.
+func (k *Keeper) Lend(customer string, tokens int64) int64 {
+	given := k.account(customer).lend(tokens)
+	if given > 0 {
+		k.lent.Inc(given)
+		k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": given, "asked": tokens}).Info("prepaid: tokens lent")
+	}
+	return given
+}
+
+// RunLoans borrows from other instances while the store is away, until the context ends.
+func (k *Keeper) RunLoans(ctx context.Context) error {
+	ticker := k.config.Clock.NewTicker(tickInterval / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		case <-k.borrow:
+		}
+		if k.storeAway(k.config.Clock.Now()) {
+			k.borrowAll(ctx)
+		}
+	}
+}
+
+// borrowAll fills up leases that run dry. Waiters that no loan can serve are refused.
+func (k *Keeper) borrowAll(ctx context.Context) {
+	for customer, a := range k.snapshot() {
+		want := shortfall(a.demand())
+		if want <= 0 || a.refusedLoan(k.config.Clock.Now()) {
+			continue
+		}
+		got := k.config.Borrow(ctx, customer, want)
+		if got > 0 {
+			k.borrowed.Inc(got)
+			k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": got, "asked": want}).Info("prepaid: tokens borrowed")
+			a.borrow(got)
+		}
+		if got < want {
+			a.noteLoan(k.config.Clock.Now())
+			a.refuse(false)
+		}
+	}
+}
+
 func (k *Keeper) account(customer string) *account {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -238,6 +303,10 @@
 	}
 	err := k.update(ctx)
 	k.note(err)
+	if err != nil && k.config.Borrow != nil {
+		wake(k.borrow)
+		return
+	}
 	for _, a := range k.snapshot() {
 		a.refuse(err == nil)
 	}
@@ -296,30 +365,60 @@
 			k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier start closed")
 		}
 	}
+	fill := refillAt
+	if changed || k.needed(refillAt) {
+		// An update is due, so that all leases are filled up with it.
+		fill = 1
+	}
 	for customer, a := range k.snapshot() {
-		prepaid, limited := k.config.Prepaid(customer)
-		if !limited {
-			continue
-		}
-		handedOut := k.ledger.handedOut(customer)
-		remaining := max(prepaid-handedOut, 0)
-		d := a.demand()
-		if d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) {
-			// A later start of this instance has closed the lease.
-			continue
-		}
-		limit := nextLimit(d, remaining, trafficShare(d.limit, handedOut, k.config.Instances()))
-		if limit < d.limit {
-			limit = a.lower(limit)
-		}
-		if limit != k.ledger.lease(customer, k.config.Incarnation) {
-			next.setLease(customer, k.config.Incarnation, limit, prepaid)
+		if k.resize(next, customer, a, fill) {
 			changed = true
 		}
 	}
 	return next, changed
 }
 
+// needed says whether a lease is below the part fill of its wanted size, or far above it.
+func (k *Keeper) needed(fill float64) bool {
+	for customer, a := range k.snapshot() {
+		if d, limit, ok := k.size(customer, a, fill); ok && limit != d.limit {
+			return true
+		}
+	}
+	return false
+}
+
+// size returns what an account's limit should be. It is not ok for customers without a budget and for leases that a later
+// start of this instance has closed.
+func (k *Keeper) size(customer string, a *account, fill float64) (demand, int64, bool) {
+	prepaid, limited := k.config.Prepaid(customer)
+	d := a.demand()
+	if !limited || d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) && d.used > d.borrowed {
+		return d, 0, false
+	}
+	handedOut := k.ledger.handedOut(customer)
+	share := trafficShare(d.limit, handedOut, k.config.Instances())
+	return d, nextLimit(d, max(prepaid-handedOut, 0), share, fill), true
+}
+
+// resize brings one lease to its next size in a ledger. A lease that shrinks is lowered at once.
+func (k *Keeper) resize(next ledger, customer string, a *account, fill float64) bool {
+	d, limit, ok := k.size(customer, a, fill)
+	if !ok {
+		return false
+	}
+	lease := limit - d.borrowed
+	if limit < d.limit {
+		lease = a.lower(limit)
+	}
+	if lease == k.ledger.lease(customer, k.config.Incarnation) {
+		return false
+	}
+	prepaid, _ := k.config.Prepaid(customer)
+	next.setLease(customer, k.config.Incarnation, lease, prepaid)
+	return true
+}
+
 // read takes in the ledger as it is.
 func (k *Keeper) read(ctx context.Context) error {
 	obj, err := k.config.Store.Get(ctx, LedgerKey)
@@ -381,6 +480,7 @@
 	for customer, a := range k.snapshot() {
 		prepaid, _ := k.config.Prepaid(customer)
 		remaining := max(prepaid-k.ledger.handedOut(customer), 0)
+		k.logLease(customer, a, remaining, prepaid)
 		if !k.ledger.holds(customer, k.config.Incarnation) {
 			// Nothing was ever taken, or a later start of this instance has closed the lease.
 			a.freeze(remaining, k.readAt)
@@ -391,6 +491,18 @@
 	k.failing.Store(0)
 }
 
+// logLease writes a line when a lease is about to change.
+func (k *Keeper) logLease(customer string, a *account, remaining, prepaid int64) {
+	d, limit := a.demand(), k.ledger.lease(customer, k.config.Incarnation)
+	if limit == d.limit {
+		return
+	}
+	k.config.Log.WithFields(log.Fields{
+		"customer": customer, "limit": limit, "before": d.limit, "used": d.used, "remaining": remaining, "prepaid": prepaid,
+		"tokens_per_s": int64(d.ratePerSecond), "ledger_version": uint64(k.version),
+	}).Info("prepaid: lease changed")
+}
+
 func (k *Keeper) note(err error) {
 	if err != nil {
 		k.failing.Store(k.config.Clock.Now().UnixNano())
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -9,27 +9,39 @@
 	// 9 s, while a lease is between refillAt and all of this.
 	leaseHorizon = 11 * time.Second
 	// refillAt is the part of the wanted lease below which it is filled up.
-	refillAt = 0.85
+	refillAt = 0.8
 	// leaseShare bounds leases as the budget runs out: the instances together hold at most this part of what is not
 	// handed out, so that little is lost when all are killed at once near the end.
-	leaseShare = 0.5
+	leaseShare = 1.0
 	// idleShare is the part for instances that have not used the budget yet.
 	idleShare = 0.04
+	// smallestLease is the size below which a lease is not kept ahead: requests near the end of a budget take what they
+	// need, one by one.
+	smallestLease = 1500
+	// borrowBelow and borrowFor are how long what is left must last while the store is away, and what is asked for.
+	borrowBelow = 2 * time.Second
+	borrowFor   = 5 * time.Second
+	// lendReserve is how long what a lender keeps for itself must last.
+	lendReserve = 2 * time.Second
 	// rateWeight is the weight of the newest sample in the average rate.
 	rateWeight = 0.3
 )
 
 // nextLimit returns what a lease should allow after the next update: unchanged while it is well sized.
 // remaining is what the ledger has not handed out. share is this instance's part of the customer's traffic.
-func nextLimit(d demand, remaining int64, share float64) int64 {
+// A lease below the part fill of its wanted size is filled up.
+func nextLimit(d demand, remaining int64, share, fill float64) int64 {
 	free := d.limit - d.used
 	part := share * float64(remaining)
 	target := int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), idleShare*part), leaseShare*part))
+	if target < smallestLease {
+		target = 0
+	}
 	want := d.waiting + target
 	switch {
-	case free < d.waiting+int64(refillAt*float64(target)):
+	case free < d.waiting+int64(fill*float64(target)):
 		return d.limit + min(want-free, remaining)
-	case free > 2*want && float64(free-want) > idleShare*part:
+	case free > 2*want && float64(free-want) > max(idleShare*part, smallestLease/3):
 		return d.limit - (free - want)
 	default:
 		return d.limit
@@ -45,3 +57,12 @@
 	}
 	return max(even, float64(taken)/float64(handedOut))
 }
+
+// shortfall returns how many tokens an instance should borrow while the store is away, zero for none.
+func shortfall(d demand) int64 {
+	free := d.limit - d.used
+	if free >= d.waiting+int64(d.ratePerSecond*borrowBelow.Seconds()) {
+		return 0
+	}
+	return d.waiting + int64(d.ratePerSecond*borrowFor.Seconds()) - free
+}
--- a/router/router.go
+++ b/router/router.go
@@ -106,6 +106,7 @@
 		Clock: c.Clock, Log: c.Log,
 		Configuration: func() *objectstore.Listing { return r.configuration.Copy() },
 		Endpoints:     func() *objectstore.Listing { return r.endpoints.Copy() },
+		Lend:          func(customer string, tokens int64) int64 { return r.keeper.Lend(customer, tokens) },
 	})
 	r.configuration = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, Newest: r.members.NewestConfiguration,
@@ -117,7 +118,7 @@
 	})
 	r.keeper = prepaid.NewKeeper(prepaid.Config{
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
-		Prepaid: r.prepaid, Customers: r.prepaidCustomers, Instances: r.members.Count,
+		Borrow: r.members.Borrow, Prepaid: r.prepaid, Customers: r.prepaidCustomers, Instances: r.members.Count,
 	})
 	r.gateway = gateway.New(gateway.Config{
 		Wire: c.Wire, Budgets: r.keeper, Chooser: r.chooser, Retries: newRetryBudget(c.Settings),
@@ -197,6 +198,7 @@
 	group.Go(func() error { return r.configuration.Run(background) })
 	group.Go(func() error { return r.endpoints.Run(background) })
 	group.Go(func() error { return r.keeper.Run(background) })
+	group.Go(func() error { return r.keeper.RunLoans(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
 	group.Go(func() error { return serve(r.front, listeners.caller) })
