--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -140,11 +140,12 @@
 }
 
 // lower gives up a part of the lease before the ledger is told, so that a late or lost answer cannot lead to overspending.
-// It returns the lease that is left.
+// It returns the lease that is left, which is negative for an instance that gives back what it borrowed: the lender's
+// lease still counts it as spent.
 func (a *account) lower(limit int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limit = min(a.limit, max(limit, a.used, a.borrowed))
+	a.limit = min(a.limit, max(limit, a.used))
 	return a.limit - a.borrowed
 }
 
@@ -158,6 +159,7 @@
 	spare := a.limit - a.used - int64(a.ratePerSecond*lendReserve.Seconds())
 	given := min(tokens, max(spare, 0)/2)
 	a.used += given
+	a.lastUsed += given
 	return given
 }
 
--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -191,7 +191,7 @@
 		}
 		next := k.ledger.clone()
 		for name, a := range k.snapshot() {
-			if next.lease(name, k.config.Incarnation) > 0 {
+			if next.holds(name, k.config.Incarnation) {
 				next.close(name, k.config.Incarnation, a.lower(0))
 			}
 		}
@@ -393,7 +393,7 @@
 func (k *Keeper) size(customer string, a *account, fill float64) (demand, int64, bool) {
 	prepaid, limited := k.config.Prepaid(customer)
 	d := a.demand()
-	if !limited || d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) && d.used > d.borrowed {
+	if !limited || d.used > 0 && !k.ledger.holds(customer, k.config.Incarnation) {
 		return d, 0, false
 	}
 	handedOut := k.ledger.handedOut(customer)
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -7,9 +7,11 @@
 const (
 	// leaseHorizon is the time that a lease lasts at the present rate. The store is cut off from all instances for up to
 	// 9 s, while a lease is between refillAt and all of this.
-	leaseHorizon = 11 * time.Second
+	leaseHorizon = 9 * time.Second
 	// refillAt is the part of the wanted lease below which it is filled up.
 	refillAt = 0.8
+	// releaseAt is how many times the wanted lease is held before the rest is given back.
+	releaseAt = 1.6
 	// leaseShare bounds leases as the budget runs out: the instances together hold at most this part of what is not
 	// handed out, so that little is lost when all are killed at once near the end.
 	leaseShare = 1.0
@@ -41,7 +43,7 @@
 	switch {
 	case free < d.waiting+int64(fill*float64(target)):
 		return d.limit + min(want-free, remaining)
-	case free > 2*want && float64(free-want) > max(idleShare*part, smallestLease/3):
+	case float64(free) > releaseAt*float64(want) && float64(free-want) > max(idleShare*part, smallestLease/3):
 		return d.limit - (free - want)
 	default:
 		return d.limit
