--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -9,14 +9,16 @@
 )
 
 const (
-	// dialTimeout bounds a new connection to an endpoint or instance, which are milliseconds away.
-	dialTimeout = 700 * time.Millisecond
-	// unackedLimit ends a connection whose other end does not acknowledge what was sent.
-	unackedLimit = 2500 * time.Millisecond
-	// keepAlive finds connections that have gone silent while nothing is sent: 1 s + 3 x 0.5 s.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	// dialTimeout bounds a new connection to an endpoint or instance, which are milliseconds away. One whose queue of new
+	// connections is full answers only after seconds; another endpoint is then the better choice.
+	dialTimeout = 300 * time.Millisecond
+	// unackedLimit ends a connection whose other end does not acknowledge what was sent: time for two retransmissions at
+	// the least timeout of TCP, 200 and 400 ms.
+	unackedLimit = time.Second
+	// keepAlive finds connections that have gone silent while nothing is sent, within about a second.
+	keepAliveIdle     = 500 * time.Millisecond
+	keepAliveInterval = 250 * time.Millisecond
+	keepAliveCount    = 2
 	// idleConnLife is how long an idle connection to an endpoint is kept.
 	idleConnLife = 4 * time.Second
 	// idlePerEndpoint bounds the idle connections to one endpoint.
