Leave out a domain whose endpoints cannot be reached; borrow while the store is slow

Change: what cannot be reached is left out while anything can; two endpoints of a domain out of reach count for the domain. Waiting requests ask other instances after 60 ms.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -217,7 +218,13 @@
 	if errors.As(err, &dial) || !written {
 		return &failure{reason: reasonUnreachable, result: placement.Unreachable}
 	}
-	return &failure{reason: reasonLost, result: placement.Broken, ran: true, sent: true}
+	result := placement.Broken
+	var silent net.Error
+	if errors.As(err, &silent) && silent.Timeout() && j.ctx.Err() == nil {
+		// The other end no longer acknowledges.
+		result = placement.Unreachable
+	}
+	return &failure{reason: reasonLost, result: result, ran: true, sent: true}
 }
 
 // notRun takes in that the endpoint did not run the request.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,7 +28,7 @@
 	// failureHalfLife is the time in which an endpoint's share of failures halves when nothing is heard of it.
 	failureHalfLife = 2 * time.Second
 	// ejectionFirst is the time out of rotation after a connection failed; it doubles up to ejectionMost.
-	ejectionFirst = 500 * time.Millisecond
+	ejectionFirst = time.Second
 	ejectionMost  = 4 * time.Second
 	// failureCost is how many times its load an endpoint seems to have that fails all requests.
 	failureCost = 4
@@ -74,8 +74,9 @@
 
 // Chooser keeps what this instance knows of the endpoints.
 type Chooser struct {
-	mu     sync.Mutex
-	states map[string]*state
+	mu      sync.Mutex
+	states  map[string]*state
+	domains map[string]*domain
 }
 
 // state is what is known of one process of an endpoint.
@@ -94,7 +95,9 @@
 }
 
 // New returns a chooser that knows no endpoint.
-func New() *Chooser { return &Chooser{states: make(map[string]*state)} }
+func New() *Chooser {
+	return &Chooser{states: make(map[string]*state), domains: make(map[string]*domain)}
+}
 
 // Ticket is one request at the endpoint chosen for it. First and Done must be called from one goroutine.
 type Ticket struct {
@@ -124,23 +127,32 @@
 	return &Ticket{Endpoint: s.endpoint, chooser: c, state: s, reading: r.PromptTokens}
 }
 
-// usable returns the endpoints that may be chosen. Those ejected are left out unless that would leave out most.
+// usable returns the endpoints that may be chosen. Those that cannot be reached are left out while any other is there;
+// those that fail or are busy only unless that would leave out most.
 func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) []*state {
-	var good, all []*state
+	var good, reachable, all []*state
 	for _, e := range endpoints {
 		if tried[e.ID] {
 			continue
 		}
 		s := c.state(e)
 		all = append(all, s)
-		if !now.Before(s.ejectedUntil) && !now.Before(s.busyUntil) && s.failureShare(now) < failingShare {
+		if now.Before(s.ejectedUntil) || c.domains[e.Domain].away(now) {
+			continue
+		}
+		reachable = append(reachable, s)
+		if !now.Before(s.busyUntil) && s.failureShare(now) < failingShare {
 			good = append(good, s)
 		}
 	}
-	if 2*len(good) >= len(all) {
+	switch {
+	case len(reachable) == 0:
+		return all
+	case 2*len(good) >= len(reachable):
 		return good
+	default:
+		return reachable
 	}
-	return all
 }
 
 func (c *Chooser) state(e registry.Endpoint) *state {
@@ -238,7 +250,9 @@
 	s := t.state
 	s.inflight--
 	s.reading -= t.reading
-	return s.learn(r, now)
+	until := s.learn(r, now)
+	t.chooser.learnDomain(s.endpoint, r, now)
+	return until
 }
 
 func (s *state) learn(r Result, now time.Time) time.Time {
--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -21,6 +21,8 @@
 	tickInterval = 500 * time.Millisecond
 	// waitLimit is the longest wait of a request for a larger lease: some dozens of answers of the store.
 	waitLimit = 400 * time.Millisecond
+	// slowAfter is how long a waiting request gives the store before other instances are asked: several answers' time.
+	slowAfter = 60 * time.Millisecond
 	// freshFor is how long a reading of the ledger answers for an exhausted budget without another one.
 	freshFor = 400 * time.Millisecond
 	// conflictLimit bounds the updates of one round that lose against other instances.
@@ -151,12 +153,22 @@
 	if k.storeAway(now) {
 		wake(k.borrow)
 	}
+	slow := k.config.Clock.After(slowAfter)
 	timeout := k.config.Clock.After(waitLimit)
-	select {
-	case o := <-w.done:
-		return o
-	case <-timeout:
-	case <-ctx.Done():
+	for waiting := true; waiting; {
+		select {
+		case o := <-w.done:
+			return o
+		case <-slow:
+			if k.config.Borrow != nil {
+				k.failing.Store(k.config.Clock.Now().UnixNano())
+				wake(k.borrow)
+			}
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	if a.leave(e) {
 		return Unavailable
