--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -175,7 +175,7 @@
 		forwarded.Customer = j.customer.Name
 	}
 	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
-		forwarded.Priority = enginePriority(j.rank())
+		forwarded.Priority = enginePriority(j.customer, j.route)
 	}
 	if j.events > 0 {
 		forwarded.ResumeAfter = strconv.FormatInt(j.lastEvent, 10)
@@ -204,14 +204,6 @@
 	return &u
 }
 
-// rank is the customer's priority if it has one, else the route's.
-func (j *job) rank() int {
-	if j.customer != nil && j.customer.Priority != nil {
-		return *j.customer.Priority
-	}
-	return j.route.Priority
-}
-
 func (j *job) roundTripFailure(ticket *placement.Ticket, err error, written bool) *failure {
 	j.log().WithField("endpoint", ticket.Endpoint.ID).WithField("written", written).WithError(err).Info("gateway: no answer")
 	var dial *dialError
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,10 +81,3 @@
 	defer j.end()
 	j.serve()
 }
-
-// enginePriority is the rank of a request at a model engine: the more urgent kind is read first, so that short urgent
-// streams do not wait behind the prompts of others. Ranks 0, 1 and 9 stay free for operators.
-func enginePriority(rank int) int {
-	const first, step, last = 2, 5, 8
-	return min(first+step*max(rank, 0), last)
-}
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -7,7 +7,7 @@
 const (
 	// leaseHorizon is the time that a lease lasts at the present rate. The store is cut off from all instances for up to
 	// 9 s, while a lease is between refillAt and all of this.
-	leaseHorizon = 9 * time.Second
+	leaseHorizon = 7 * time.Second
 	// refillAt is the part of the wanted lease below which it is filled up.
 	refillAt = 0.8
 	// releaseAt is how many times the wanted lease is held before the rest is given back.
