--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -41,6 +42,8 @@
 	sent bool
 	// passOn is the endpoint's own answer to be passed on if there is no other try, nil for none.
 	passOn *whole
+	// wait is how long an engine would have taken to come to the request.
+	wait time.Duration
 }
 
 // forward sends the request to endpoints until one gives an answer or no further try is allowed.
@@ -50,10 +53,16 @@
 	g.config.Retries.Request(j.service, g.config.Clock.Now())
 	for {
 		endpoints := g.config.Endpoints().Endpoints(j.service)
-		ticket := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
-		if ticket == nil {
+		choice := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
+		switch choice.Verdict {
+		case placement.NoEndpoint:
 			return j.giveUp(failure{reason: reasonNoEndpoint})
+		case placement.Overloaded:
+			j.log().WithField("expected_ms", choice.Wait.Milliseconds()).Info("gateway: no engine answers in time")
+			return j.giveUp(failure{reason: reasonOverloaded, wait: choice.Wait})
+		case placement.Chosen:
 		}
+		ticket := choice.Ticket
 		f := j.try(ticket)
 		if f == nil {
 			return nil
@@ -131,8 +140,8 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case j.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, reason: f.reason}
-	case f.reason == reasonNoEndpoint:
-		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryLater}
+	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded:
+		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryLater + f.wait}
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retrySoon}
 	}
@@ -174,7 +183,7 @@
 	if j.customer != nil {
 		forwarded.Customer = j.customer.Name
 	}
-	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
+	if j.engine() != nil {
 		forwarded.Priority = enginePriority(j.customer, j.route)
 	}
 	if j.events > 0 {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -169,8 +169,8 @@
 		return 0
 	}
 	perEvent := int64(1)
-	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
-		perEvent = s.Engine.TokensPerEvent
+	if e := j.engine(); e != nil {
+		perEvent = e.TokensPerEvent
 	}
 	return j.meta.PromptTokens + min(j.events*perEvent, j.meta.MaxOutputTokens)
 }
@@ -236,7 +236,22 @@
 
 // request returns what placement needs to know.
 func (j *job) request() placement.Request {
-	return placement.Request{
-		Service: j.service, Affinity: j.meta.Affinity, PromptTokens: j.meta.PromptTokens, Domain: j.gateway.config.Domain,
+	r := placement.Request{Service: j.service, Domain: j.gateway.config.Domain}
+	if j.engine() != nil {
+		r.Parts, r.PromptTokens, r.Priority = j.meta.Parts, j.meta.PromptTokens, enginePriority(j.customer, j.route)
+		r.Patience = patience(j.route)
 	}
+	return r
 }
+
+// engine describes the engines of the request's service, nil for a plain one.
+func (j *job) engine() *routing.Engine {
+	if s := j.table.Service(j.service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// patience is the longest wait for a first event for which a request is still sent to an engine: the route's objective.
+// While engines have more to read than that, those that would be late only delay the others; they do better to come back.
+func patience(r *routing.Route) time.Duration { return r.LatencyObjective }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -22,6 +22,7 @@
 	reasonExhausted      reason = "budget-exhausted"
 	reasonBudgetAway     reason = "budget-unavailable"
 	reasonNoEndpoint     reason = "no-endpoint"
+	reasonOverloaded     reason = "overloaded"
 	reasonBusy           reason = "endpoints-busy"
 	reasonUnreachable    reason = "unreachable"
 	reasonLost           reason = "answer-lost"
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -21,8 +21,8 @@
 	Key string
 	// Deadline is how long the caller waits; zero when it does not say.
 	Deadline time.Duration
-	// Affinity names the part of the prompt that the request shares with others of its session; empty for none.
-	Affinity string
+	// Parts are the parts of the prompt that engines keep, the last one the request's own; empty for none.
+	Parts []placement.Part
 	// PromptTokens and MaxOutputTokens are the size of a generation; zero for other requests.
 	PromptTokens, MaxOutputTokens int64
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,54 +1,53 @@
-// Package placement chooses the endpoint of a request. Requests that share parts of their prompts go to the endpoint
-// that has most likely read them, unless it has much more to do than the others; endpoints that fail are left out for a
-// while, but never most of a service.
+// Package placement chooses the endpoint of a request and refuses requests that no endpoint can serve in time.
 //
-// The package is pure: time and randomness come in as arguments. A Chooser is safe for concurrent use.
+// It answers the hours at which prompts come faster than engines read them: requests that share parts of their prompts
+// go to the engine that has most likely read them, unless so much is to be read there that reading the parts anew
+// elsewhere is quicker; and a request whose first token would come after its caller has left is refused at once.
+// Endpoints that fail are left out for a while, but never most of a service.
+//
+// The package is pure: time comes in as an argument. A Chooser is safe for concurrent use.
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pumiceshelf/registry"
 )
 
-const (
-	// loadBoundFactor and loadBoundSlack bound an endpoint's load against the mean of its service: x times the mean plus
-	// a few. With a smaller bound hot prompts move about and are read again (measured on the users' bench).
-	loadBoundFactor = 1.5
-	loadBoundSlack  = 2.0
-	// failureWeight is the weight of the newest answer in an endpoint's share of failures.
-	failureWeight = 0.25
-	// failingShare is the share of failures from which an endpoint counts as failing: well over what services answer
-	// with errors on an ordinary day.
-	failingShare = 0.45
-	// failureHalfLife is the time in which an endpoint's share of failures halves when nothing is heard of it.
-	failureHalfLife = 2 * time.Second
-	// ejectionFirst is the time out of rotation after a connection failed; it doubles up to ejectionMost.
-	ejectionFirst = time.Second
-	ejectionMost  = 4 * time.Second
-	// failureCost is how many times its load an endpoint seems to have that fails all requests.
-	failureCost = 4
-	// reportLife is how long a load report is used.
-	reportLife = time.Second
-	// busyPause is how long an endpoint that had no room is left out: about the time that a few of its requests take.
-	busyPause = 100 * time.Millisecond
-)
-
 // Request is what the choice depends on.
 type Request struct {
 	Service string
-	// Affinity names the prompt part that the request shares with others; empty for none.
-	Affinity string
-	// PromptTokens is what an endpoint has to read before it answers.
+	// Parts are the parts of the prompt in order, the last one the request's own. Empty for requests without a prompt.
+	Parts []Part
+	// PromptTokens is the whole prompt.
 	PromptTokens int64
+	// Priority at the engine, 0 first.
+	Priority int
+	// Patience is the longest expected wait for the first token with which the request is sent; zero for no bound.
+	Patience time.Duration
 	// Domain of this instance, preferred among endpoints that are otherwise equal.
 	Domain string
 }
 
+// Part is a piece of a prompt that engines keep and requests may share.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// session returns the part that a session's requests share, the last but one, and how many tokens come up to its end.
+func (r Request) session() (id string, tokens int64) {
+	if len(r.Parts) == 0 {
+		return "", 0
+	}
+	last := max(len(r.Parts)-2, 0)
+	for _, p := range r.Parts[:last+1] {
+		tokens += p.Tokens
+	}
+	return r.Parts[last].ID, tokens
+}
+
 // Load is an endpoint's own report.
 type Load struct {
 	Running, Waiting, Slots int
@@ -72,6 +71,26 @@
 	Withdrawn
 )
 
+// Verdict is why no endpoint was chosen.
+type Verdict int
+
+const (
+	// Chosen means that there is a ticket.
+	Chosen Verdict = iota
+	// NoEndpoint means that the service has none left to try.
+	NoEndpoint
+	// Overloaded means that no endpoint would answer in time.
+	Overloaded
+)
+
+// Choice is the answer to a request for an endpoint.
+type Choice struct {
+	Verdict Verdict
+	Ticket  *Ticket
+	// Wait is how long the first token is expected to take at the best endpoint.
+	Wait time.Duration
+}
+
 // Chooser keeps what this instance knows of the endpoints.
 type Chooser struct {
 	mu      sync.Mutex
@@ -79,52 +98,41 @@
 	domains map[string]*domain
 }
 
-// state is what is known of one process of an endpoint.
-type state struct {
-	endpoint registry.Endpoint
-	inflight int
-	// reading is the sum of prompt tokens sent to the endpoint and not yet answered by a first token.
-	reading      int64
-	failures     float64
-	failuresAt   time.Time
-	ejections    int
-	ejectedUntil time.Time
-	busyUntil    time.Time
-	load         Load
-	loadAt       time.Time
-}
-
 // New returns a chooser that knows no endpoint.
 func New() *Chooser {
 	return &Chooser{states: make(map[string]*state), domains: make(map[string]*domain)}
 }
 
-// Ticket is one request at the endpoint chosen for it. First and Done must be called from one goroutine.
+// Ticket is one request at the endpoint chosen for it. Its methods must be called from one goroutine.
 type Ticket struct {
 	Endpoint registry.Endpoint
 	chooser  *Chooser
 	state    *state
-	reading  int64
+	reading  *reading
 	done     bool
 }
 
-// Pick chooses among the endpoints given, leaving out those tried before. It returns nil if there is none.
-func (c *Chooser) Pick(endpoints []registry.Endpoint, r Request, tried map[string]bool, now time.Time) *Ticket {
+// Pick chooses among the endpoints given, leaving out those tried before.
+func (c *Chooser) Pick(endpoints []registry.Endpoint, r Request, tried map[string]bool, now time.Time) Choice {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	usable := c.usable(endpoints, tried, now)
 	if len(usable) == 0 {
-		return nil
+		return Choice{Verdict: NoEndpoint}
 	}
 	var s *state
-	if r.Affinity != "" {
-		s = byAffinity(usable, r.Affinity)
+	var wait time.Duration
+	if len(r.Parts) > 0 {
+		s, wait = byWork(usable, r, now)
 	} else {
 		s = byLoad(usable, r.Domain, now)
 	}
+	if r.Patience > 0 && wait > r.Patience {
+		return Choice{Verdict: Overloaded, Wait: wait}
+	}
 	s.inflight++
-	s.reading += r.PromptTokens
-	return &Ticket{Endpoint: s.endpoint, chooser: c, state: s, reading: r.PromptTokens}
+	t := &Ticket{Endpoint: s.endpoint, chooser: c, state: s, reading: s.read(r, now)}
+	return Choice{Ticket: t, Wait: wait}
 }
 
 // usable returns the endpoints that may be chosen. Those that cannot be reached are left out while any other is there;
@@ -158,14 +166,14 @@
 func (c *Chooser) state(e registry.Endpoint) *state {
 	s := c.states[e.ID]
 	if s == nil || !s.endpoint.Same(e) {
-		s = &state{endpoint: e}
+		s = newState(e)
 		c.states[e.ID] = s
 	}
 	s.endpoint = e
 	return s
 }
 
-// Retain forgets endpoints that are not in the view.
+// Retain forgets endpoints that are not known any more.
 func (c *Chooser) Retain(known func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -176,60 +184,12 @@
 	}
 }
 
-// byAffinity takes the endpoints in the order of their rendezvous hash and returns the first within the load bound.
-func byAffinity(usable []*state, affinity string) *state {
-	total := 0
-	for _, s := range usable {
-		total += s.inflight
-	}
-	bound := loadBoundFactor*float64(total+1)/float64(len(usable)) + loadBoundSlack
-	var best, any *state
-	var bestScore, anyScore uint64
-	for _, s := range usable {
-		score := xxhash.Sum64String(affinity + "\x00" + s.endpoint.ID)
-		if any == nil || score > anyScore {
-			any, anyScore = s, score
-		}
-		if float64(s.inflight) < bound && (best == nil || score > bestScore) {
-			best, bestScore = s, score
-		}
-	}
-	if best == nil {
-		return any
-	}
-	return best
-}
-
-// byLoad returns the endpoint with the least load for its share of failures.
-func byLoad(usable []*state, domain string, now time.Time) *state {
-	var best *state
-	least := math.Inf(1)
-	for _, s := range usable {
-		if cost := s.cost(domain, now); cost < least {
-			best, least = s, cost
-		}
-	}
-	return best
-}
-
-func (s *state) cost(domain string, now time.Time) float64 {
-	load := float64(s.inflight)
-	if now.Sub(s.loadAt) < reportLife {
-		load = max(load, float64(s.load.Running+s.load.Waiting))
-	}
-	cost := (load + 1) * (1 + failureCost*s.failureShare(now))
-	if s.endpoint.Domain != domain {
-		cost += 0.1
-	}
-	return cost
-}
-
 // FirstToken notes that the endpoint has read the prompt.
 func (t *Ticket) FirstToken() {
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
-	t.state.reading -= t.reading
-	t.reading = 0
+	t.state.finishReading(t.reading)
+	t.reading = nil
 }
 
 // Report notes the endpoint's own load report.
@@ -247,42 +207,9 @@
 		return time.Time{}
 	}
 	t.done = true
-	s := t.state
-	s.inflight--
-	s.reading -= t.reading
-	until := s.learn(r, now)
-	t.chooser.learnDomain(s.endpoint, r, now)
+	t.state.inflight--
+	t.state.finishReading(t.reading)
+	until := t.state.learn(r, now)
+	t.chooser.learnDomain(t.state.endpoint, r, now)
 	return until
 }
-
-func (s *state) learn(r Result, now time.Time) time.Time {
-	switch r {
-	case Served:
-		s.observe(0, now)
-		s.ejections = 0
-	case Errored, Broken:
-		s.observe(1, now)
-	case Unreachable:
-		s.observe(1, now)
-		s.ejectedUntil = now.Add(min(ejectionFirst<<min(s.ejections, 8), ejectionMost))
-		s.ejections++
-		return s.ejectedUntil
-	case Busy:
-		s.busyUntil = now.Add(busyPause)
-		return s.busyUntil
-	case Withdrawn:
-	}
-	return time.Time{}
-}
-
-// observe takes an answer into the share of failures.
-func (s *state) observe(failed float64, now time.Time) {
-	share := s.failureShare(now)
-	s.failures, s.failuresAt = share+failureWeight*(failed-share), now
-}
-
-// failureShare returns the share of failures, which fades with time.
-func (s *state) failureShare(now time.Time) float64 {
-	age := max(now.Sub(s.failuresAt), 0)
-	return s.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
-}
