Keep ample budgets for 14 s of outage and tight ones smaller; update the ledger less often

Change: a lease lasts 14 s but holds at most 0.35 of what is not handed out; updates that are not urgent wait 1.5 s.

--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -21,6 +21,8 @@
 	tickInterval = 500 * time.Millisecond
 	// waitLimit is the longest wait of a request for a larger lease: some dozens of answers of the store.
 	waitLimit = 400 * time.Millisecond
+	// updateInterval is the least time between two updates of the ledger that are not urgent: calls are counted.
+	updateInterval = 1500 * time.Millisecond
 	// slowAfter is how long a waiting request gives the store before other instances are asked: several answers' time.
 	slowAfter = 60 * time.Millisecond
 	// freshFor is how long a reading of the ledger answers for an exhausted budget without another one.
@@ -80,6 +82,8 @@
 	// known is false until the ledger has been read, and again after an update whose answer was lost.
 	known  bool
 	readAt time.Time
+	// writtenAt is when this instance last changed the ledger.
+	writtenAt time.Time
 	// unsettled is the version that the last update with a lost answer expected. Until the ledger is past it, that update
 	// may still take effect.
 	unsettled  objectstore.Version
@@ -378,6 +382,9 @@
 		}
 	}
 	fill := refillAt
+	if !changed && k.config.Clock.Since(k.writtenAt) < updateInterval && !k.needed(urgentAt) {
+		return next, false
+	}
 	if changed || k.needed(refillAt) {
 		// An update is due, so that all leases are filled up with it.
 		fill = 1
@@ -471,7 +478,7 @@
 	switch {
 	case err == nil:
 		k.set(next, version)
-		k.started = true
+		k.started, k.writtenAt = true, k.readAt
 		k.updates.Inc(1)
 		k.adopt()
 	case errors.As(err, &conflict):
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -5,16 +5,18 @@
 // Sizes of leases. A lease rides out an outage of the store; what is left of it when its holder crashes is lost to the
 // customer.
 const (
-	// leaseHorizon is the time that a lease lasts at the present rate. The store is cut off from all instances for up to
-	// 9 s, while a lease is between refillAt and all of this.
-	leaseHorizon = 7 * time.Second
+	// leaseHorizon is the time that a lease lasts at the present rate: the store is cut off from all instances for up to
+	// 9 s, and down for 5 s right after that.
+	leaseHorizon = 14 * time.Second
 	// refillAt is the part of the wanted lease below which it is filled up.
 	refillAt = 0.8
+	// urgentAt is the part below which it is filled up at once.
+	urgentAt = 0.4
 	// releaseAt is how many times the wanted lease is held before the rest is given back.
 	releaseAt = 1.6
-	// leaseShare bounds leases as the budget runs out: the instances together hold at most this part of what is not
-	// handed out, so that little is lost when all are killed at once near the end.
-	leaseShare = 1.0
+	// leaseShare bounds leases as the budget runs out: they hold at most this part of what is not handed out, by each
+	// instance's share of the traffic, so that little is lost when all instances are killed at once near the end.
+	leaseShare = 0.35
 	// idleShare is the part for instances that have not used the budget yet.
 	idleShare = 0.04
 	// smallestLease is the size below which a lease is not kept ahead: requests near the end of a budget take what they
@@ -40,11 +42,12 @@
 		target = 0
 	}
 	want := d.waiting + target
+	surplus := free - want
 	switch {
 	case free < d.waiting+int64(fill*float64(target)):
 		return d.limit + min(want-free, remaining)
-	case float64(free) > releaseAt*float64(want) && float64(free-want) > max(idleShare*part, smallestLease/3):
-		return d.limit - (free - want)
+	case fill > urgentAt && float64(free) > releaseAt*float64(want) && float64(surplus) > max(idleShare*part, smallestLease/3):
+		return d.limit - surplus
 	default:
 		return d.limit
 	}
