--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,239 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/prepaid"
+	"pumiceshelf/routing"
+)
+
+func TestPassThrough(t *testing.T) {
+	Convey("a request reaches an endpoint byte for byte, and its answer the caller", t, func() {
+		e := newEndpoint("i-1", answers(201, "the answer"))
+		r := newRig(e)
+		Reset(r.close)
+		a := r.send("POST", "/fetch/a%2Fb/../c?x=1&y=%20", "the body", map[string]string{"X-Own": "kept", "X-Tenant": "forged", "X-Hold": "forged"})
+		So(a.status, ShouldEqual, 201)
+		So(a.body, ShouldEqual, "the answer")
+		So(a.header.Get("X-Server-Stamp"), ShouldEqual, "stamp")
+		So(a.header.Get("X-Request-Id"), ShouldEqual, "id-1")
+		seen := e.seen[0]
+		So(seen.Method, ShouldEqual, "POST")
+		So(seen.RequestURI, ShouldEqual, "/fetch/a%2Fb/../c?x=1&y=%20")
+		So(seen.Host, ShouldEqual, "a.example")
+		So(e.bodies[0], ShouldEqual, "the body")
+		So(seen.Header.Get("X-Tenant"), ShouldEqual, "alwusta")
+		So(seen.Header.Get("X-Expect-Instance"), ShouldEqual, "i-1")
+		So(seen.Header.Get("X-Own"), ShouldEqual, "kept")
+		So(seen.Header, ShouldNotContainKey, "Api-Key")
+		So(seen.Header, ShouldNotContainKey, "X-Hold")
+		ms, err := strconv.Atoi(seen.Header.Get("X-Deadline-Ms"))
+		So(err, ShouldBeNil)
+		So(ms, ShouldBeBetweenOrEqual, 1, 4000)
+	})
+	Convey("requests that are not served get their reason, and reach no endpoint", t, func() {
+		e := newEndpoint("i-1", answers(200, "x"))
+		r := newRig(e)
+		Reset(r.close)
+		for _, c := range []struct {
+			name, path, body string
+			header           map[string]string
+			status           int
+			title            string
+		}{
+			{"no route", "/other/", "", nil, 404, "no-route"},
+			{"unknown key", "/fetch/", "", map[string]string{"Api-Key": "other"}, 401, "unknown-key"},
+			{"no key", "/fetch/", "", map[string]string{"Api-Key": ""}, 401, "unknown-key"},
+			{"no id", "/fetch/", "", map[string]string{"X-Request-Id": ""}, 400, "malformed"},
+			{"bad deadline", "/fetch/", "", map[string]string{"X-Deadline-Ms": "soon"}, 400, "malformed"},
+			{"large body", "/fetch/", strings.Repeat("x", 1001), nil, 413, "too-large"},
+		} {
+			a := r.send("POST", c.path, c.body, c.header)
+			SoMsg(c.name, a.status, ShouldEqual, c.status)
+			SoMsg(c.name, a.body, ShouldContainSubstring, c.title)
+			SoMsg(c.name, a.body, ShouldContainSubstring, "not-run")
+			SoMsg(c.name, a.header, ShouldNotContainKey, "X-Server-Stamp")
+		}
+		So(r.runs(), ShouldEqual, 0)
+		So(r.send("GET", "/public/", "", map[string]string{"Api-Key": ""}).status, ShouldEqual, 200)
+	})
+	Convey("an instance that knows no configuration answers 503, never 401 or 404", t, func() {
+		r := newRig(newEndpoint("i-1", answers(200, "x")))
+		Reset(r.close)
+		r.table.Store(nil)
+		a := r.send("GET", "/fetch/", "", nil)
+		So(a.status, ShouldEqual, 503)
+		So(a.header.Get("Retry-After"), ShouldNotBeEmpty)
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	for _, c := range []struct {
+		name, path    string
+		first, second http.HandlerFunc
+		status, runs  int
+		retryAfter    bool
+	}{
+		{"idempotent after a crash", "/fetch/", crashes, answers(200, "x"), 200, 2, false},
+		{"idempotent after an error", "/fetch/", answers(500, "e"), answers(200, "x"), 200, 2, false},
+		{"idempotent, both fail: the last answer goes on", "/fetch/", answers(500, "e"), answers(500, "e"), 500, 2, false},
+		{"not idempotent after a crash: unknown, and no second run", "/status/", crashes, crashes, 502, 1, false},
+		{"not idempotent after an error: that answer", "/status/", answers(500, "e"), answers(500, "e"), 500, 1, false},
+		{"not idempotent after not run: another", "/status/", refuses, refuses, 503, 2, true},
+		{"a stream that may not be resumed, cut before its first event", "/note/", crashes, crashes, 502, 1, false},
+		{"a stream that may be resumed, cut before its first event", "/plan/", crashes, streams(3, 0), 200, 2, false},
+		{"an answer of another request is dropped", "/fetch/", crossed, answers(200, "x"), 200, 2, false},
+		{"an answer of another request, not idempotent: unknown", "/status/", crossed, crossed, 502, 1, false},
+		{"an answer shorter than it says is dropped", "/fetch/", short, answers(200, "x"), 200, 2, false},
+		{"an endpoint that is another one now", "/status/", moved, moved, 503, 2, true},
+	} {
+		Convey(c.name, t, func() {
+			// Whichever endpoint is chosen first takes the first part.
+			turn := 0
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				turn++
+				if turn == 1 {
+					c.first(w, r)
+				} else {
+					c.second(w, r)
+				}
+			}
+			r := newRig(newEndpoint("i-1", handle), newEndpoint("i-2", handle))
+			Reset(r.close)
+			a := r.send("POST", c.path, "b", nil)
+			So(a.status, ShouldEqual, c.status)
+			So(r.runs(), ShouldEqual, c.runs)
+			So(a.header.Get("Retry-After") != "", ShouldEqual, c.retryAfter)
+			if c.status == 502 {
+				So(a.body, ShouldContainSubstring, "unknown")
+			}
+		})
+	}
+	Convey("an endpoint that cannot be reached was sent nothing, so that any request goes to another", t, func() {
+		e := newEndpoint("i-1", answers(200, "x"))
+		dead := newEndpoint("i-2", nil)
+		dead.server.Close()
+		r := newRig(e, dead)
+		Reset(r.close)
+		for range 6 {
+			So(r.send("POST", "/status/", "b", nil).status, ShouldEqual, 200)
+		}
+		So(r.runs(), ShouldEqual, 6)
+	})
+}
+
+func crossed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Request-Id", "id-2")
+	w.Header().Set("X-Server-Stamp", "stamp")
+	_, _ = io.WriteString(w, "of another request")
+}
+
+func short(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "part")
+	w.(http.Flusher).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func moved(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+
+func TestStreams(t *testing.T) {
+	whole := func(last int) string {
+		var b strings.Builder
+		for id := 1; id <= last; id++ {
+			b.WriteString("id: " + strconv.Itoa(id) + "\ndata: piece " + strconv.Itoa(id) + "\n\n")
+		}
+		return b.String()
+	}
+	Convey("a stream goes on at another endpoint within the same answer, without a piece lost, doubled or halved", t, func() {
+		turn := 0
+		handle := func(w http.ResponseWriter, r *http.Request) {
+			turn++
+			if turn < 3 {
+				streams(9, 3)(w, r)
+			} else {
+				streams(9, 0)(w, r)
+			}
+		}
+		r := newRig(newEndpoint("i-1", handle), newEndpoint("i-2", handle), newEndpoint("i-3", handle))
+		Reset(r.close)
+		a := r.send("POST", "/plan/", "b", nil)
+		So(a.cut, ShouldBeFalse)
+		So(a.body, ShouldEqual, whole(9))
+		So(r.runs(), ShouldEqual, 3)
+	})
+	Convey("one that may not go on ends visibly cut, after whole pieces only", t, func() {
+		r := newRig(newEndpoint("i-1", streams(9, 3)), newEndpoint("i-2", streams(9, 3)))
+		Reset(r.close)
+		a := r.send("POST", "/note/", "b", nil)
+		So(a.cut, ShouldBeTrue)
+		So(a.body, ShouldEqual, whole(3))
+		So(r.runs(), ShouldEqual, 1)
+	})
+	Convey("attempts are bounded", t, func() {
+		r := newRig(newEndpoint("i-1", streams(99, 1)), newEndpoint("i-2", streams(99, 1)), newEndpoint("i-3", streams(99, 1)), newEndpoint("i-4", streams(99, 1)))
+		Reset(r.close)
+		a := r.send("POST", "/plan/", "b", nil)
+		So(a.cut, ShouldBeTrue)
+		So(r.runs(), ShouldEqual, 3)
+		So(a.body, ShouldEqual, whole(3))
+	})
+	Convey("a caller's own Last-Event-Id is passed on", t, func() {
+		r := newRig(newEndpoint("i-1", streams(5, 0)))
+		Reset(r.close)
+		a := r.send("POST", "/plan/", "b", map[string]string{"Last-Event-Id": "3"})
+		So(a.body, ShouldEqual, strings.TrimPrefix(whole(5), whole(3)))
+	})
+}
+
+func TestBudgets(t *testing.T) {
+	Convey("a generation reserves its most, and one that does not fit is refused without running", t, func() {
+		r := newRig(newEndpoint("i-1", streams(5, 0)))
+		Reset(r.close)
+		counts := map[string]string{"X-Token-Counts": "100,80"}
+		So(r.send("POST", "/plan/", "b", counts).status, ShouldEqual, 200)
+		So(r.budgets.reserved.Load(), ShouldEqual, int64(180))
+		for _, c := range []struct {
+			outcome prepaid.Outcome
+			status  int
+		}{{prepaid.Exhausted, 402}, {prepaid.Unavailable, 503}} {
+			r.budgets.outcome = c.outcome
+			a := r.send("POST", "/plan/", "b", counts)
+			So(a.status, ShouldEqual, c.status)
+			So(a.header.Get("Retry-After") != "", ShouldEqual, c.status == 503)
+		}
+		So(r.runs(), ShouldEqual, 1)
+		So(r.count("gateway.ended.budget-exhausted"), ShouldEqual, int64(1))
+	})
+}
+
+func TestEnginePriority(t *testing.T) {
+	Convey("the customer's rank counts first, the route's within it", t, func() {
+		// Through the header that an engine gets.
+		e := newEndpoint("i-1", streams(1, 0))
+		r := newRig(e)
+		Reset(r.close)
+		rank := 0
+		for _, c := range []struct {
+			customer *int
+			route    int
+			want     string
+		}{{nil, 0, "3"}, {nil, 1, "4"}, {&rank, 1, "1"}, {nil, 7, "5"}} {
+			config := testConfig()
+			config.Customers[0].Priority = c.customer
+			for i := range config.Routes {
+				config.Routes[i].Priority = c.route
+			}
+			r.table.Store(routing.Compile(config))
+			So(r.send("POST", "/plan/", "b", nil).status, ShouldEqual, 200)
+			So(e.seen[len(e.seen)-1].Header.Get("X-Request-Priority"), ShouldEqual, c.want)
+		}
+	})
+}
