Take requests back from endpoints that have fallen silent

Change: a repeatable request that is late goes to another endpoint if this one has answered nothing of this instance since; a stream goes on after its last event. Ruled out: a bound on time alone, which in a burst would read prompts twice.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,7 +27,8 @@
 // attempt is one try at one endpoint.
 type attempt struct {
 	ticket *placement.Ticket
-	cancel context.CancelFunc
+	ctx    context.Context
+	dog    *watchdog
 	resp   *http.Response
 	answer Answer
 }
@@ -150,17 +151,25 @@
 // exchange sends the request to the endpoint of the ticket and relays its answer.
 func (j *job) exchange(ticket *placement.Ticket) *failure {
 	g := j.gateway
-	ctx, cancel := context.WithCancel(j.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	defer cancel(nil)
+	var dog *watchdog
+	if j.route.Repeatable() {
+		dog = watch(ticket, j.route, cancel, g.config.Clock.Now)
+		defer dog.stop()
+	}
 	var written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
 	g.counters.attempts.Inc(1)
 	resp, err := g.transport.RoundTrip(j.outgoing(ctx, ticket.Endpoint))
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return j.silent(ticket)
+	}
 	if err != nil {
 		return j.roundTripFailure(ticket, err, written.Load())
 	}
 	defer resp.Body.Close()
-	a := &attempt{ticket: ticket, cancel: cancel, resp: resp, answer: g.config.Wire.Answer(resp.StatusCode, resp.Header)}
+	a := &attempt{ticket: ticket, ctx: ctx, dog: dog, resp: resp, answer: g.config.Wire.Answer(resp.StatusCode, resp.Header)}
 	if a.answer.RequestID != "" && a.answer.RequestID != j.meta.ID {
 		j.log().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.answer.RequestID}).Warn("gateway: answer of another request dropped")
 		return &failure{reason: reasonCrossed, result: placement.Served, ran: true, sent: true}
@@ -228,6 +237,12 @@
 	return &failure{reason: reasonLost, result: result, ran: true, sent: true}
 }
 
+// silent takes in that the request was taken back from a silent endpoint, which may have run it.
+func (j *job) silent(ticket *placement.Ticket) *failure {
+	j.log().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "events": j.events}).Info("gateway: endpoint silent")
+	return &failure{reason: reasonSilent, result: placement.Silent, ran: true, sent: true}
+}
+
 // notRun takes in that the endpoint did not run the request.
 func (j *job) notRun(a *attempt) *failure {
 	if a.answer.OtherEndpoint {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -95,10 +97,9 @@
 	} {
 		Convey(c.name, t, func() {
 			// Whichever endpoint is chosen first takes the first part.
-			turn := 0
+			var turn atomic.Int32
 			handle := func(w http.ResponseWriter, r *http.Request) {
-				turn++
-				if turn == 1 {
+				if turn.Add(1) == 1 {
 					c.first(w, r)
 				} else {
 					c.second(w, r)
@@ -144,6 +145,55 @@
 
 func moved(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
 
+// silent takes the request and says nothing until its connection ends.
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// mute sends some events and then nothing more.
+func mute(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	_, _ = io.WriteString(w, "id: 1\ndata: piece 1\n\n")
+	w.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		first      http.HandlerFunc
+		second     http.HandlerFunc
+		status     int
+		body       string
+		runs       int
+	}{
+		{"an idempotent request goes to another endpoint", "/fetch/", silent, answers(200, "x"), 200, "x", 2},
+		{"a resumable stream goes on elsewhere after a pause", "/plan/", mute, streams(2, 0), 200, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", 2},
+		{"another request is never sent again", "/status/", silent, answers(200, "x"), 504, "unknown", 1},
+	} {
+		Convey("when an endpoint falls silent, "+c.name, t, func() {
+			var turn atomic.Int32
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				if turn.Add(1) == 1 {
+					c.first(w, r)
+				} else {
+					c.second(w, r)
+				}
+			}
+			r := newRig(newEndpoint("i-1", handle), newEndpoint("i-2", handle))
+			Reset(r.close)
+			config := testConfig()
+			for i := range config.Routes {
+				config.Routes[i].LatencyObjective, config.Routes[i].GapObjective = 20*time.Millisecond, 10*time.Millisecond
+				config.Routes[i].Timeout = 500 * time.Millisecond
+			}
+			r.table.Store(routing.Compile(config))
+			a := r.send("POST", c.path, "b", nil)
+			So(a.status, ShouldEqual, c.status)
+			So(a.body, ShouldContainSubstring, c.body)
+			So(r.runs(), ShouldEqual, c.runs)
+		})
+	}
+}
+
 func TestStreams(t *testing.T) {
 	whole := func(last int) string {
 		var b strings.Builder
@@ -153,10 +203,9 @@
 		return b.String()
 	}
 	Convey("a stream goes on at another endpoint within the same answer, without a piece lost, doubled or halved", t, func() {
-		turn := 0
+		var turn atomic.Int32
 		handle := func(w http.ResponseWriter, r *http.Request) {
-			turn++
-			if turn < 3 {
+			if turn.Add(1) < 3 {
 				streams(9, 3)(w, r)
 			} else {
 				streams(9, 0)(w, r)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,7 +19,7 @@
 // reasons are those that requests end or are repeated for.
 var reasons = []reason{
 	reasonStarting, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyCut, reasonExhausted,
-	reasonBudgetAway, reasonNoEndpoint, reasonOverloaded, reasonBusy, reasonUnreachable, reasonLost, reasonCrossed, reasonCut, reasonTimeout,
+	reasonBudgetAway, reasonNoEndpoint, reasonOverloaded, reasonBusy, reasonUnreachable, reasonLost, reasonCrossed, reasonSilent, reasonCut, reasonTimeout,
 	reasonCallerLeft, reasonEndpointFailed, reasonMoved,
 }
 
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -27,6 +27,7 @@
 	reasonUnreachable    reason = "unreachable"
 	reasonLost           reason = "answer-lost"
 	reasonCrossed        reason = "answer-of-another-request"
+	reasonSilent         reason = "endpoint-silent"
 	reasonCut            reason = "answer-cut"
 	reasonTimeout        reason = "timeout"
 	reasonCallerLeft     reason = "caller-left"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -22,6 +23,9 @@
 // relayWhole reads an answer to its end and passes it on.
 func (j *job) relayWhole(a *attempt) *failure {
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, answerLimit+1))
+	if err != nil && errors.Is(context.Cause(a.ctx), errSilent) {
+		return j.silent(a.ticket)
+	}
 	if err != nil || len(body) > answerLimit {
 		j.log().WithField("endpoint", a.ticket.Endpoint.ID).WithError(err).Info("gateway: answer cut")
 		return &failure{reason: reasonCut, result: placement.Broken, ran: true, sent: true}
@@ -68,6 +72,9 @@
 		if errors.Is(err, io.EOF) && j.headerSent {
 			return nil
 		}
+		if err != nil && errors.Is(context.Cause(a.ctx), errSilent) {
+			return j.silent(a.ticket)
+		}
 		if err != nil {
 			j.log().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.events}).WithError(err).Info("gateway: stream cut")
 			return &failure{reason: reasonCut, result: placement.Broken, ran: true, sent: true}
@@ -75,7 +82,10 @@
 		if ev.numbered && resumed && ev.id <= j.lastEvent {
 			continue
 		}
-		a.ticket.FirstToken()
+		a.ticket.FirstToken(j.gateway.config.Clock.Now())
+		if a.dog != nil {
+			a.dog.advance()
+		}
 		j.mayHaveRun = true
 		if !j.headerSent {
 			j.startStream(a)
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -40,6 +40,6 @@
 	case Served, Errored, Busy:
 		clear(d.unreachable)
 		d.awayUntil = time.Time{}
-	case Broken, Withdrawn:
+	case Broken, Silent, Withdrawn:
 	}
 }
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -142,7 +142,7 @@
 }
 
 func (s *simulation) answer(p *simulatedPrompt) {
-	p.ticket.FirstToken()
+	p.ticket.FirstToken(s.now)
 	p.ticket.Done(placement.Served, s.now)
 	if s.now.Sub(p.sent) <= p.request.Patience {
 		s.inTime++
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,8 @@
 	Busy
 	// Withdrawn means that the caller left or the time was up: nothing is learnt.
 	Withdrawn
+	// Silent means that the endpoint did not go on with this request nor with any other.
+	Silent
 )
 
 // Verdict is why no endpoint was chosen.
@@ -185,13 +187,22 @@
 }
 
 // FirstToken notes that the endpoint has read the prompt.
-func (t *Ticket) FirstToken() {
+func (t *Ticket) FirstToken(now time.Time) {
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
+	t.state.answeredAt = now
 	t.state.finishReading(t.reading)
 	t.reading = nil
 }
 
+// SilentSince says whether the endpoint has answered none of this instance's requests since a time: it is then more
+// likely stuck than busy.
+func (t *Ticket) SilentSince(since time.Time) bool {
+	t.chooser.mu.Lock()
+	defer t.chooser.mu.Unlock()
+	return !t.state.answeredAt.After(since)
+}
+
 // Report notes the endpoint's own load report.
 func (t *Ticket) Report(l Load, now time.Time) {
 	t.chooser.mu.Lock()
--- a/placement/state.go
+++ b/placement/state.go
@@ -41,6 +41,8 @@
 	busyUntil    time.Time
 	load         Load
 	loadAt       time.Time
+	// answeredAt is when the endpoint last answered a request or went on with a stream.
+	answeredAt time.Time
 }
 
 // reading is a prompt that an endpoint has been sent.
@@ -55,13 +57,16 @@
 }
 
 func (s *state) learn(r Result, now time.Time) time.Time {
+	if r == Served || r == Errored || r == Busy {
+		s.answeredAt = now
+	}
 	switch r {
 	case Served:
 		s.observe(0, now)
 		s.ejections = 0
 	case Errored, Broken:
 		s.observe(1, now)
-	case Unreachable:
+	case Unreachable, Silent:
 		s.observe(1, now)
 		s.ejectedUntil = now.Add(min(ejectionFirst<<min(s.ejections, 8), ejectionMost))
 		s.ejections++
