--- a/router/router_test.go
+++ b/router/router_test.go
@@ -22,6 +22,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/api"
+	"pumiceshelf/internal/doctable"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/platform"
 	"pumiceshelf/prepaid"
@@ -379,3 +380,15 @@
 		So(err.Error(), ShouldContainSubstring, "nmae")
 	})
 }
+
+func TestPageListsEveryField(t *testing.T) {
+	Convey("docs/routing-settings.md has each field once, with a meaning, and no other", t, func() {
+		rows, err := doctable.Read("../docs/routing-settings.md")
+		So(err, ShouldBeNil)
+		leaves := doctable.Leaves((&api.RouterSettings{}).ProtoReflect().Descriptor())
+		for _, path := range leaves {
+			SoMsg(path, rows, ShouldContainKey, path)
+		}
+		So(len(rows), ShouldEqual, len(leaves))
+	})
+}
