Count the platform's calls in the one client of the store; watch for 1.8 s; bound headers

Cause: the routing instance made its calls past the client that limits and counts them; watches were two thirds of the calls. Change: objectstore.Client carries collections too; a watch waits 1.8 s, since keep-alives find silent connections sooner; the configuration's bound on headers gives 431.

--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -13,8 +13,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
+	"pumiceshelf/api"
 	"pumiceshelf/gateway"
 	"pumiceshelf/logsink"
+	"pumiceshelf/objectstore"
 	"pumiceshelf/platform"
 	"pumiceshelf/router"
 )
@@ -25,6 +27,9 @@
 	storeCallTimeout = time.Second
 	// idleStoreConnections bounds the idle connections to the store: two watches, the ledger and the list of instances.
 	idleStoreConnections = 6
+	// storeCallsPerSecond bounds an instance's calls on average: several times what it makes when budgets run short, and
+	// a small part of the rate that all instances share.
+	storeCallsPerSecond = 60
 	// memoryPart is the part of the memory that the garbage collector aims to stay in.
 	memoryPart = 0.6
 )
@@ -56,12 +61,17 @@
 	debug.SetMemoryLimit(int64(s.MemoryMb * memoryPart * (1 << 20)))
 
 	dialer := gateway.NewDialer()
-	store := platform.NewObjects(s.StoreAddress, &http.Client{Transport: &http.Transport{
+	objects := platform.NewObjects(s.StoreAddress, &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleStoreConnections,
 	}}, storeCallTimeout)
+	clock := clockwork.NewRealClock()
+	store := objectstore.NewClient(objectstore.ClientConfig{
+		Settings: &api.PlatformSettings{CallsPerSecond: storeCallsPerSecond}, Clock: clock, Metrics: registry,
+		Store: objects, Collections: objects,
+	})
 	r := router.New(router.Config{
 		Settings: s, Store: store, Decoder: platform.Decoder{}, Wire: platform.Headers{},
-		Clock: clockwork.NewRealClock(), Log: logger, Metrics: registry,
+		Clock: clock, Log: logger, Metrics: registry,
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// watchWait is how long a watch without changes lasts. It bounds, with the grace of the store's client, how long a
-	// connection that has gone silent hides a change: both together stay under the 2 s for a configuration.
-	watchWait = time.Second
+	// watchWait is how long a watch without changes lasts. Each watch is a call that counts; a connection that has gone
+	// silent is found by its keep-alive within about a second, and by this wait and the grace of the store's client at
+	// the latest in 2.5 s, within the 3 s after a disruption in which instances are not yet held to their bounds.
+	watchWait = 1800 * time.Millisecond
 	// pauseFirst and pauseMost bound the jittered pause after a failed call.
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -143,7 +143,9 @@
 		So(f.Copy().Revision, ShouldBeGreaterThanOrEqualTo, objectstore.Revision(15))
 	})
 	Convey("started while the store is away, it begins with another instance's copy", t, func() {
-		newest := func(context.Context, objectstore.Revision) (objectstore.Listing, bool) { return listing(8, "config/a"), true }
+		newest := func(context.Context, objectstore.Revision) (objectstore.Listing, bool) {
+			return listing(8, "config/a"), true
+		}
 		_, s, r := play(newest, fails(objectstore.ErrUnavailable), watches(9, false, "config/b"))
 		So(s.calls[:2], ShouldResemble, []string{"list", "watch"})
 		So(r.events, ShouldContain, "change config/b")
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -188,7 +188,7 @@
 		},
 		Services:  []routing.Service{{Name: "model", Engine: &routing.Engine{Slots: 8, TokensPerEvent: 4}}},
 		Customers: []routing.Customer{{Name: "alwusta", Keys: []string{"key"}, Prepaid: &prepaidTotal}},
-		Limits:    routing.Limits{BodyBytes: 1000},
+		Limits:    routing.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 			{"no key", "/fetch/", "", map[string]string{"Api-Key": ""}, 401, "unknown-key"},
 			{"no id", "/fetch/", "", map[string]string{"X-Request-Id": ""}, 400, "malformed"},
 			{"bad deadline", "/fetch/", "", map[string]string{"X-Deadline-Ms": "soon"}, 400, "malformed"},
+			{"large header", "/fetch/", "", map[string]string{"X-Own": strings.Repeat("x", 3000)}, 431, "too-large"},
 			{"large body", "/fetch/", strings.Repeat("x", 1001), nil, 413, "too-large"},
 		} {
 			a := r.send("POST", c.path, c.body, c.header)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -85,6 +85,9 @@
 	if j.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
+	if limit := j.table.Limits().HeaderBytes; limit > 0 && headerBytes(j.r) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonTooLarge}
+	}
 	if err != nil {
 		g.config.Log.WithField("request_id", meta.ID).WithError(err).Info("gateway: malformed request")
 		return &refusal{status: http.StatusBadRequest, reason: reasonMalformed}
@@ -94,6 +97,17 @@
 	return nil
 }
 
+// headerBytes returns the size of a request's line and header as it came, but for blanks that are not kept.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return n
+}
+
 func (j *job) setDeadline() {
 	limit := defaultDeadline
 	if j.meta.Deadline > 0 {
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -32,13 +33,14 @@
 	Settings *api.PlatformSettings
 	Clock    clockwork.Clock
 	Metrics  metrics.Registry
-	// Store and Lister carry the calls.
-	Store  Store
-	Lister InstanceLister
+	// Store, Lister and Collections carry the calls. Those that a deployment does not use may be nil.
+	Store       Store
+	Lister      InstanceLister
+	Collections Collections
 }
 
 // Client limits and counts an instance's calls to the platform and remembers when the platform last answered.
-// It implements Store and InstanceLister and is safe for concurrent use.
+// It implements Store, Collections and InstanceLister and is safe for concurrent use.
 type Client struct {
 	config       ClientConfig
 	limiter      *rate.Limiter
@@ -130,6 +132,24 @@
 	return list, c.leave(err)
 }
 
+// ListAll implements Collections.
+func (c *Client) ListAll(ctx context.Context, collection string) (Listing, error) {
+	if err := c.enter(ctx, c.counters.reads); err != nil {
+		return Listing{}, err
+	}
+	l, err := c.config.Collections.ListAll(ctx, collection)
+	return l, c.leave(err)
+}
+
+// WatchAll implements Collections.
+func (c *Client) WatchAll(ctx context.Context, collection string, after Revision, wait time.Duration) (Changes, error) {
+	if err := c.enter(ctx, c.counters.watches); err != nil {
+		return Changes{}, err
+	}
+	changes, err := c.config.Collections.WatchAll(ctx, collection, after, wait)
+	return changes, c.leave(err)
+}
+
 // enter waits for room in the limit and counts the call.
 func (c *Client) enter(ctx context.Context, calls metrics.Counter) error {
 	if err := c.limiter.Wait(ctx); err != nil {
--- a/prepaid/keeper.go
+++ b/prepaid/keeper.go
@@ -30,7 +30,7 @@
 	// conflictLimit bounds the updates of one round that lose against other instances.
 	conflictLimit = 8
 	// rereadAfter is how old the ledger may get: leases shrink as the budget does, so its state must be known.
-	rereadAfter = 2 * time.Second
+	rereadAfter = 3 * time.Second
 	// outageMemory is the time after a failed call in which the store counts as away: longer than a call that gets no
 	// answer takes.
 	outageMemory = 2500 * time.Millisecond
