--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,13 +33,14 @@
 	Endpoints func() *registry.View
 	// Instances returns how many instances share the retry budget.
 	Instances func() int
+	// Settle returns when what the instance knows may be relied on, which is at once unless it was frozen; nil for never
+	// to wait.
+	Settle func(ctx context.Context)
 	// Domain of this instance.
-	Domain string
-	// BodyBytes is how much memory bodies of requests in progress may take together.
-	BodyBytes int64
-	Clock     clockwork.Clock
-	Log       log.Interface
-	Metrics   metrics.Registry
+	Domain  string
+	Clock   clockwork.Clock
+	Log     log.Interface
+	Metrics metrics.Registry
 	// Transport carries requests to endpoints; nil means the package's own.
 	Transport http.RoundTripper
 	// Uniform returns a number in [0, 1).
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -64,6 +64,9 @@
 
 // serve takes the request through all its steps.
 func (j *job) serve() {
+	if settle := j.gateway.config.Settle; settle != nil {
+		settle(j.r.Context())
+	}
 	for _, step := range []func() *refusal{j.match, j.identify, j.readBody, j.reserve, j.forward} {
 		if r := step(); r != nil {
 			j.refuse(*r)
--- a/router/router.go
+++ b/router/router.go
@@ -87,13 +87,14 @@
 	keeper        *prepaid.Keeper
 	gateway       *gateway.Gateway
 	chooser       *placement.Chooser
+	wake          *wakeGuard
 	front         *http.Server
 	ready         *http.Server
 }
 
 // New assembles a router.
 func New(c Config) *Router {
-	r := &Router{config: c, chooser: placement.New()}
+	r := &Router{config: c, chooser: placement.New(), wake: newWakeGuard(c.Clock)}
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	dialer := gateway.NewDialer()
 	r.members = members.New(members.Config{
@@ -123,7 +124,7 @@
 	r.gateway = gateway.New(gateway.Config{
 		Wire: c.Wire, Budgets: r.keeper, Chooser: r.chooser, Retries: newRetryBudget(c.Settings),
 		Table: r.table.Load, Endpoints: r.view.Load, Instances: r.members.Count, Domain: c.Settings.Domain,
-		Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
+		Settle: r.wake.Wait, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.front = &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -195,6 +196,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return r.wake.Run(background) })
 	group.Go(func() error { return r.configuration.Run(background) })
 	group.Go(func() error { return r.endpoints.Run(background) })
 	group.Go(func() error { return r.keeper.Run(background) })
