Log what instances could not ask each other

An error of a refresh, a question or a loan was at debug level only, so that an on-call engineer did not see it. The lines are bounded by their intervals and by the log's own rate.

--- a/members/members.go
+++ b/members/members.go
@@ -78,7 +78,7 @@
 func (m *Members) Run(ctx context.Context) error {
 	for {
 		if err := m.refresh(ctx); err != nil && ctx.Err() == nil {
-			m.config.Log.WithError(err).Debug("members: not refreshed")
+			m.config.Log.WithError(err).Info("members: not refreshed")
 		}
 		select {
 		case <-ctx.Done():
@@ -165,7 +165,7 @@
 		go func() {
 			reply, err := m.ask(ctx, address, q)
 			if err != nil && !errors.Is(err, context.Canceled) {
-				m.config.Log.WithField("address", address).WithError(err).Debug("members: instance not asked")
+				m.config.Log.WithField("address", address).WithError(err).Info("members: instance not asked")
 			}
 			answers <- pick(reply)
 		}()
@@ -200,14 +200,14 @@
 	defer cancel()
 	conn, err := m.config.Dial(ctx, address)
 	if err != nil {
-		m.config.Log.WithField("address", address).WithError(err).Debug("members: nothing borrowed")
+		m.config.Log.WithField("address", address).WithError(err).Info("members: nothing borrowed")
 		return 0
 	}
 	client := drpcconn.New(conn)
 	defer client.Close()
 	reply, err := api.NewDRPCFleetClient(client).Lend(ctx, q)
 	if err != nil {
-		m.config.Log.WithField("address", address).WithError(err).Debug("members: nothing borrowed")
+		m.config.Log.WithField("address", address).WithError(err).Info("members: nothing borrowed")
 		return 0
 	}
 	return min(max(reply.Tokens, 0), q.Tokens)
