Tell callers to come back after 2 to 4 s while the ledger is out of reach

Cause: in cuts from the store callers came back after 0.3 to 0.6 s, were refused again and had no attempt left when it returned.

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -174,7 +174,7 @@
 	case prepaid.Exhausted:
 		return &refusal{status: http.StatusPaymentRequired, reason: reasonExhausted}
 	case prepaid.Unavailable:
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBudgetAway, retryAfter: retrySoon}
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBudgetAway, retryAfter: retryOutage}
 	default:
 		return nil
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -48,6 +48,9 @@
 	retrySoon = 300 * time.Millisecond
 	// retryLater is when to come back for what takes longer: a store that is away, a service without endpoints.
 	retryLater = time.Second
+	// retryOutage is when to come back for what needs the store while it is away: its outages last for seconds, and a caller
+	// that comes back within one is refused again.
+	retryOutage = 2 * time.Second
 )
 
 // problem is the body of a refusal as of RFC 9457.
