--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -6,13 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
@@ -105,17 +105,32 @@
 type budgets struct {
 	outcome  prepaid.Outcome
 	reserved atomic.Int64
-	keeper   *prepaid.Keeper
 }
 
-func (b *budgets) Reserve(ctx context.Context, customer string, tokens int64) (*prepaid.Reservation, prepaid.Outcome) {
+func (b *budgets) Reserve(_ context.Context, _ string, tokens int64) (*prepaid.Reservation, prepaid.Outcome) {
 	b.reserved.Add(tokens)
-	if b.keeper != nil {
-		return b.keeper.Reserve(ctx, customer, tokens)
-	}
 	return &prepaid.Reservation{}, b.outcome
 }
 
+// logs is a log.Handler that keeps the lines.
+type logs struct {
+	mu      sync.Mutex
+	entries []*log.Entry
+}
+
+func (l *logs) HandleLog(e *log.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, e)
+	return nil
+}
+
+func (l *logs) all() []*log.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.entries)
+}
+
 // rig is a gateway before stand-ins.
 type rig struct {
 	gateway   *gateway.Gateway
@@ -125,10 +140,11 @@
 	view      atomic.Pointer[registry.View]
 	endpoints []*endpoint
 	registry  metrics.Registry
+	logs      *logs
 }
 
 func newRig(endpoints ...*endpoint) *rig {
-	r := &rig{budgets: &budgets{}, endpoints: endpoints, registry: metrics.NewRegistry()}
+	r := &rig{budgets: &budgets{}, endpoints: endpoints, registry: metrics.NewRegistry(), logs: &logs{}}
 	r.table.Store(routing.Compile(testConfig()))
 	set := registry.NewSet()
 	var list []registry.Endpoint
@@ -141,7 +157,7 @@
 		Wire: platform.Headers{}, Budgets: r.budgets, Chooser: placement.New(),
 		Retries: retrybudget.New(retrybudget.Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}),
 		Table:   r.table.Load, Endpoints: r.view.Load, Instances: func() int { return 1 }, Domain: "hall-a",
-		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: r.registry,
+		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: r.logs, Level: log.InfoLevel}, Metrics: r.registry,
 		Uniform: func() float64 { return 0 },
 	})
 	r.server = httptest.NewServer(r.gateway)
@@ -192,6 +208,18 @@
 	}
 }
 
+// charged waits for a request's end and returns the tokens that it was charged.
+func (r *rig) charged(id string) any {
+	for {
+		for _, e := range r.logs.all() {
+			if e.Message == "gateway: request ended" && e.Fields["request_id"] == id {
+				return e.Fields["charged_tokens"]
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // answer is what a caller got.
 type answer struct {
 	status int
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -264,6 +265,60 @@
 	})
 }
 
+func TestCharges(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		handle     http.HandlerFunc
+		want       int64
+	}{
+		{"the prompt once and the events that were delivered, of 4 tokens each", "/plan/", streams(5, 0), 120},
+		{"never more than its most", "/plan/", streams(50, 0), 180},
+		{"what went on elsewhere: the prompt once", "/plan/", streams(5, 2), 120},
+		{"a cut stream: what was delivered", "/note/", streams(9, 3), 112},
+		{"a lost answer: the prompt, which may have been read", "/note/", crashes, 100},
+		{"not run: nothing", "/note/", refuses, 0},
+	} {
+		Convey("a request is charged "+c.name, t, func() {
+			r := newRig(newEndpoint("i-1", c.handle), newEndpoint("i-2", c.handle), newEndpoint("i-3", c.handle))
+			Reset(r.close)
+			r.send("POST", c.path, "b", map[string]string{"X-Token-Counts": "100,80"})
+			So(r.charged("id-1"), ShouldEqual, c.want)
+		})
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	Convey("when a caller leaves, the endpoint is told at once and no other one gets the request", t, func() {
+		arrived, left := make(chan struct{}), make(chan struct{})
+		handle := func(_ http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+			close(left)
+		}
+		r := newRig(newEndpoint("i-1", handle), newEndpoint("i-2", handle))
+		Reset(r.close)
+		ctx, leave := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.server.URL+"/fetch/", nil)
+		So(err, ShouldBeNil)
+		req.Host = "a.example"
+		req.Header.Set("X-Request-Id", "id-1")
+		req.Header.Set("Api-Key", "key")
+		ended := make(chan error, 1)
+		go func() {
+			_, err := http.DefaultClient.Do(req)
+			ended <- err
+		}()
+		<-arrived
+		leave()
+		<-left
+		So(<-ended, ShouldNotBeNil)
+		for r.count("gateway.ended.caller-left") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		So(r.runs(), ShouldEqual, 1)
+	})
+}
+
 func TestEnginePriority(t *testing.T) {
 	Convey("the customer's rank counts first, the route's within it", t, func() {
 		// Through the header that an engine gets.
