Make the test of a leaving caller fail when the rule is left out

It now uses a route that is not watched, with a timeout of an hour, and fails (times out) when the context is not passed on.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -297,8 +297,14 @@
 		}
 		r := newRig(newEndpoint("i-1", handle), newEndpoint("i-2", handle))
 		Reset(r.close)
+		// Nothing but the caller's leaving ends this request: no timeout, and no watch for silence on such a route.
+		config := testConfig()
+		for i := range config.Routes {
+			config.Routes[i].Timeout = time.Hour
+		}
+		r.table.Store(routing.Compile(config))
 		ctx, leave := context.WithCancel(context.Background())
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.server.URL+"/fetch/", nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.server.URL+"/status/", nil)
 		So(err, ShouldBeNil)
 		req.Host = "a.example"
 		req.Header.Set("X-Request-Id", "id-1")
