Count calls in TestInstancesTellEachOther from when the start is over

The count began when all instances had the first bundle, while the watcher's first watch, which brings it too, or instances' own first reads could still be to come: calls of the start, not of the change. Reproduced: 39 of 240 runs failed, eight side by side. Ruled out: a second watcher or reader of the change; the clocks stand still and the counts differ only by calls before it. Change: the count begins once the second watch waits and no call has come for a while. The bounds (3 reads, 1 watch) stay. After: 0 of 240, eight side by side.

--- a/bundle/holder_test.go
+++ b/bundle/holder_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"pumiceshelf/api"
+	"pumiceshelf/internal/standin"
 )
 
 func TestRollReachesEveryInstance(t *testing.T) {
@@ -244,6 +245,20 @@
 	})
 }
 
+// settledCalls returns the calls to the platform once those of the start are over: the watcher's first watch brings the
+// first bundle and its second one waits, and instances that heard of the bundle from a peer have ended their own first reads.
+func settledCalls(f *testFleet) standin.Calls {
+	const looks, pause = 50, 2 * time.Millisecond
+	calls := f.objects.Calls()
+	for same := 0; same < looks || calls.Watches < 2; same++ {
+		time.Sleep(pause)
+		if now := f.objects.Calls(); now != calls {
+			calls, same = now, 0
+		}
+	}
+	return calls
+}
+
 func TestInstancesTellEachOther(t *testing.T) {
 	Convey("Given a domain of 30 instances whose clocks stand still, so that none polls or compares", t, func() {
 		f := newFleet(t, clockwork.NewFakeClock())
@@ -257,7 +272,7 @@
 			n.run()
 		}
 		allHave(t, f.list(), 1)
-		before := f.objects.Calls()
+		before := settledCalls(f)
 		b := testBundle(2, 100, 2)
 		b.Customers[5].Weight = 7
 		mustRoll(t, f.objects, b)
