Keep a request known until its settlement is handed over

Cause: Settle took a request out of the entry's open requests and only then handed its settlement to the holder. A holder that checked long open reservations in between was told that the attempt is unknown, released the reservation, and dropped the bill that came next as a duplicate: "a request that ran was not billed". On a busy machine the gap lasts as long as the goroutine waits for a processor.

The new test of TestRecords checks open reservations within the gap, at the holder and at another instance: 0 of 60 tokens on record before, 60 after.

--- a/quota/billing_test.go
+++ b/quota/billing_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/internal/standin"
@@ -19,6 +20,20 @@
 	return r[0]
 }
 
+// askedClock does something, once, when the time is asked.
+type askedClock struct {
+	clockwork.Clock
+	asked func()
+	done  atomic.Bool
+}
+
+func (c *askedClock) Now() time.Time {
+	if !c.done.Swap(true) {
+		c.asked()
+	}
+	return c.Clock.Now()
+}
+
 func TestRecords(t *testing.T) {
 	Convey("Given three instances in one domain and two in another", t, func() {
 		f := newFleet(t, 10_000)
@@ -40,6 +55,17 @@
 			left, _ := f.objects.Link("test").List(t.Context(), usagePrefix, "", 10)
 			So(left, ShouldBeEmpty)
 		})
+		for place, n := range map[string]*node{"its holder": holder, "another instance": entry} {
+			Convey("a request that ends at "+place+" while open reservations are checked is billed", func() {
+				So(f.reserve(n, "r1", 100).Outcome, ShouldEqual, Granted)
+				f.clock.Advance(2 * holder.cfg.orphanAfter())
+				// Settle reads the clock for its record, after it took the request out and before the holder has it.
+				n.cfg.Clock = &askedClock{Clock: f.clock, asked: func() { holder.resolveOrphans(t.Context()) }}
+				f.settle(n, "r1", 60)
+				f.steps(30 * time.Second)
+				So(f.report().Recorded, ShouldEqual, 60)
+			})
+		}
 		Convey("a lost answer to a segment's write bills nothing twice", func() {
 			var lost atomic.Int64
 			f.objects.SetFaults(standin.Faults{LoseAnswer: func(string) bool { return lost.Add(1)%2 == 1 }})
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -34,6 +34,8 @@
 	answer  Reservation
 	// mirrors are the witnesses that may keep the request.
 	mirrors []string
+	// ending says that the request is over and its settlement not handed over yet.
+	ending bool
 }
 
 // delivery is a settlement on its way to its holder. It is kept until the holder's record is durable.
@@ -119,18 +121,26 @@
 	}
 }
 
-// end takes an open request out, or returns nil if it was settled before.
+// end begins the end of an open request, or returns nil if it was settled before. The request stays known until its
+// settlement is handed over: a holder that asks in between must not release a reservation whose bill is on its way.
 func (e *entry) end(requestID string) *openRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	o := e.open[requestID]
-	if o == nil || o.answer.Outcome == 0 {
+	if o == nil || o.answer.Outcome == 0 || o.ending {
 		return nil
 	}
-	delete(e.open, requestID)
+	o.ending = true
 	return o
 }
 
+// handedOver takes out a request whose settlement a holder has or a delivery keeps.
+func (e *entry) handedOver(requestID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.open, requestID)
+}
+
 // isOpen says whether an attempt of this instance may still run or has a settlement on its way.
 func (e *entry) isOpen(requestID string, attempt uint64) bool {
 	e.mu.Lock()
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -213,10 +213,12 @@
 	item := &api.SettleItem{Record: m.record(u, o), Attempt: o.attempt, Ran: u.Ran}
 	if o.holder == m.self {
 		_, sequence := m.holder.settle(item, m.self)
+		m.entry.handedOver(u.RequestID)
 		m.settledMirrored(o, u.Ran, sequence)
 		return
 	}
 	d := m.entry.deliver(item, o.holder)
+	m.entry.handedOver(u.RequestID)
 	select {
 	case <-d.confirmed:
 	case <-ctx.Done():
