Hold requests back until an instance that hears nobody hears of its endpoints again

Cause: an instance frozen for 3 s sent requests from its queue just after it woke, before it had heard that an endpoint left. It now puts choices off when nothing was heard of endpoints for three report intervals.

Tried and dropped: any load report of its own as word. Reports count only if every endpoint of the domain gave one.

Tests: TestWakeFromFreeze on an injected clock.

--- a/quota/mirror_test.go
+++ b/quota/mirror_test.go
@@ -40,6 +40,23 @@
 	return n
 }
 
+// awaitForgotten waits until no running instance keeps a request for others: the calls that end them take real time.
+func (f *fleet) awaitForgotten() {
+	for range 1000 {
+		kept := 0
+		for _, x := range f.running() {
+			x.kept.mu.Lock()
+			kept += x.kept.count
+			x.kept.mu.Unlock()
+		}
+		if kept == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatal("a released request is still kept")
+}
+
 func mirrorFleet(t *testing.T) (*fleet, *node) {
 	f := newFleet(t, 100_000)
 	for _, n := range []string{"a", "b", "c"} {
@@ -48,6 +65,7 @@
 	holder := f.holder("d1")
 	f.reserve(holder, "first", 100)
 	f.release(holder, "first")
+	f.awaitForgotten()
 	f.steps(2 * mirrorAvoid)
 	return f, holder
 }
@@ -130,17 +148,17 @@
 			So(f.report().Agrees, ShouldBeTrue)
 		})
 	})
-	Convey("A request is kept, and billed when its holder dies, though no witness of the lease answers", t, func() {
-		f, holder := mirrorFleet(t)
+	Convey("A request is kept, and billed when its holder dies, though the lease's witness does not answer", t, func() {
+		f := newFleet(t, 100_000)
+		f.start("d1", "a")
+		f.start("d1", "b")
 		f.start("d2", "x")
-		for _, n := range f.running() {
-			if n != holder && n.domain == holder.domain {
-				f.cutLink(holder, n, true)
-			}
-		}
-		// The first request finds the witnesses silent; they are passed over afterwards.
-		So(f.reserveNow(holder, "first again"), ShouldEqual, Granted)
-		f.release(holder, "first again")
+		holder, witness := f.holder("d1"), f.other("d1")
+		f.reserve(holder, "first", 100)
+		f.release(holder, "first")
+		f.awaitForgotten()
+		f.steps(2 * mirrorAvoid)
+		f.cutLink(holder, witness, true)
 		before := holder.counters.unmirrored.Count()
 		So(f.reserveNow(holder, "r"), ShouldEqual, Granted)
 		So(holder.counters.unmirrored.Count(), ShouldEqual, before)
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -47,6 +47,8 @@
 	table  atomic.Pointer[table]
 	random atomic.Uint64
 	onRoom atomic.Pointer[func(group string)]
+	// hearing holds requests back while what is known of endpoints is too old.
+	hearing hearing
 
 	mu      sync.Mutex
 	leaving *leaving
@@ -66,6 +68,7 @@
 		meters:  newMeters(c.Metrics),
 		leaving: newLeaving(),
 		local:   make(map[string]*api.EndpointLoad),
+		hearing: hearing{limit: silentIntervals * c.Settings.ReportInterval.AsDuration()},
 	}
 	seed := c.Seed
 	if seed == 0 {
@@ -97,7 +100,12 @@
 		b.meters.gone.Inc(1)
 		return admit.Place{}, admit.Gone
 	}
-	c := chooser{now: b.config.Clock.Now(), target: t, random: b.random.Add(golden), policy: b.policy}
+	now := b.config.Clock.Now()
+	if b.hearing.silent(now) {
+		b.meters.heldBack.Inc(1)
+		return admit.Place{}, admit.Busy
+	}
+	c := chooser{now: now, target: t, random: b.random.Add(golden), policy: b.policy}
 	out := c.choose(g)
 	switch out.availability {
 	case admit.Busy:
@@ -142,9 +150,18 @@
 // SetLeaving takes in the platform's list of endpoints that leave.
 func (b *Balancer) SetLeaving(ids []string) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.leaving.setPlatform(ids)
 	b.markLeaving()
+	b.mu.Unlock()
+	b.heard()
+}
+
+// heard notes that the platform, a peer or endpoints said how endpoints are. The lock must not be held.
+func (b *Balancer) heard() {
+	if b.hearing.heard(b.config.Clock.Now()) {
+		b.config.Log.Infof("route: hears of endpoints again, requests go on")
+		b.room("")
+	}
 }
 
 // markLeaving brings the endpoints' leaving marks up to date. The lock is held.
--- a/route/balancer_test.go
+++ b/route/balancer_test.go
@@ -143,6 +143,51 @@
 	})
 }
 
+func TestWakeFromFreeze(t *testing.T) {
+	Convey("Given an instance that heard of its endpoints", t, func() {
+		f := newFixture(testBundle(1, 2, 8, "a"), instances(1, "a"), 0, "")
+		f.balancer.SetLeaving(nil)
+		limit := silentIntervals * testSettings().ReportInterval.AsDuration()
+
+		Convey("after a freeze nothing is sent until it hears of them again, then not to one that left meanwhile", func() {
+			f.clock.Advance(limit + time.Millisecond)
+			_, a := f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Busy)
+			rooms := 0
+			f.balancer.OnRoom(func(string) { rooms++ })
+			f.balancer.SetLeaving([]string{"a-e0"})
+			So(rooms, ShouldEqual, 1)
+			p, a := f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Chosen)
+			So(p.Endpoint, ShouldEqual, "a-e1")
+		})
+		Convey("a report of one endpoint is not enough, reports of all are", func() {
+			f.clock.Advance(limit + time.Millisecond)
+			f.loads.loads["http://a-e0"] = &api.EndpointLoad{}
+			f.balancer.pollOnce(t.Context())
+			_, a := f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Busy)
+			f.loads.loads["http://a-e1"] = &api.EndpointLoad{}
+			f.balancer.pollOnce(t.Context())
+			_, a = f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Chosen)
+		})
+		Convey("word in time holds nothing back", func() {
+			f.clock.Advance(limit)
+			_, a := f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Chosen)
+		})
+		Convey("one that hears nobody for long goes on with what it knows", func() {
+			f.clock.Advance(limit + time.Millisecond)
+			for range silentPatience {
+				f.balancer.tick()
+			}
+			_, a := f.acquire(admit.Target{Prefix: 3})
+			So(a, ShouldEqual, admit.Chosen)
+		})
+	})
+}
+
 func TestEjection(t *testing.T) {
 	Convey("Three endpoints, all of which fail", t, func() {
 		f := newFixture(testBundle(1, 3, 8, "a"), instances(1, "a"), 0, "")
--- a/route/follow.go
+++ b/route/follow.go
@@ -55,6 +55,7 @@
 // tick lets ejections and peers' words end.
 func (b *Balancer) tick() {
 	now := b.config.Clock.Now()
+	b.hearing.look(now)
 	out, room := 0, false
 	t := b.table.Load()
 	for id, s := range t.states {
--- a/route/metrics.go
+++ b/route/metrics.go
@@ -22,9 +22,11 @@
 	descSlowed   = telemetry.Describe("route.limit_cuts", "cuts", "Limits lowered because first tokens took long.")
 	descPolls    = telemetry.Describe("route.polls", "calls", "Load reports fetched from endpoints.")
 	descPollFail = telemetry.Describe("route.polls_failed", "calls", "Load reports that could not be fetched.")
-	descLeaving  = telemetry.Describe("route.leaving", "endpoints", "Endpoints that leave now.")
-	descOut      = telemetry.Describe("route.ejected", "endpoints", "Endpoints out of rotation now.")
-	descKnown    = telemetry.Describe("route.endpoints", "endpoints", "Endpoints in the bundle.")
+	descHeldBack = telemetry.Describe("route.held_back", "choices",
+		"Choices put off since nothing was heard of endpoints for too long, as after a freeze.")
+	descLeaving = telemetry.Describe("route.leaving", "endpoints", "Endpoints that leave now.")
+	descOut     = telemetry.Describe("route.ejected", "endpoints", "Endpoints out of rotation now.")
+	descKnown   = telemetry.Describe("route.endpoints", "endpoints", "Endpoints in the bundle.")
 )
 
 // meters are the balancer's metrics.
@@ -32,7 +34,7 @@
 	chosen                        [bySpill + 1]metrics.Counter
 	busy, gone, failures, silent  metrics.Counter
 	ejected, withheld, returned   metrics.Counter
-	slowed, full                  metrics.Counter
+	slowed, full, heldBack        metrics.Counter
 	polls, pollsFailed            metrics.Counter
 	leavingNow, outNow, endpoints metrics.Gauge
 }
@@ -41,7 +43,7 @@
 	m := &meters{
 		busy: descBusy.Counter(r), gone: descGone.Counter(r), failures: descFailure.Counter(r), silent: descSilent.Counter(r),
 		ejected: descEjected.Counter(r), withheld: descWithheld.Counter(r), returned: descReturned.Counter(r),
-		slowed: descSlowed.Counter(r), full: descFull.Counter(r), polls: descPolls.Counter(r), pollsFailed: descPollFail.Counter(r),
+		slowed: descSlowed.Counter(r), full: descFull.Counter(r), heldBack: descHeldBack.Counter(r), polls: descPolls.Counter(r), pollsFailed: descPollFail.Counter(r),
 		leavingNow: descLeaving.Gauge(r), outNow: descOut.Gauge(r), endpoints: descKnown.Gauge(r),
 	}
 	m.chosen[byAffinity] = descAffinity.Counter(r)
--- a/route/poll.go
+++ b/route/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -44,13 +45,31 @@
 	b.keepLocal(mine)
 	var group errgroup.Group
 	group.SetLimit(pollsAtOnce)
+	var answered atomic.Int64
 	for _, e := range mine {
 		group.Go(func() error {
-			b.pollEndpoint(ctx, e)
+			if b.pollEndpoint(ctx, e) {
+				answered.Add(1)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait()
+	// Reports of a part of the endpoints say nothing of the others.
+	if len(mine) > 0 && len(mine) == b.inDomain() && int(answered.Load()) == len(mine) {
+		b.heard()
+	}
+}
+
+// inDomain counts the endpoints of this domain.
+func (b *Balancer) inDomain() int {
+	n := 0
+	for _, e := range b.table.Load().endpoints {
+		if string(e.Domain) == b.config.Self.Domain {
+			n++
+		}
+	}
+	return n
 }
 
 // mine returns the endpoints of this domain that this instance polls. Each endpoint has one poller in its domain; the
@@ -82,7 +101,8 @@
 	}
 }
 
-func (b *Balancer) pollEndpoint(ctx context.Context, e *bundle.Endpoint) {
+// pollEndpoint returns whether the endpoint reported.
+func (b *Balancer) pollEndpoint(ctx context.Context, e *bundle.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, b.config.Settings.ReportInterval.AsDuration())
 	defer cancel()
 	b.meters.polls.Inc(1)
@@ -90,12 +110,13 @@
 	if err != nil {
 		b.meters.pollsFailed.Inc(1)
 		b.config.Log.Debugf("route: no load report from %s: %s", e.ID, err)
-		return
+		return false
 	}
 	l := proto.Clone(got).(*api.EndpointLoad)
 	l.Endpoint = e.ID
 	l.ReportedUnixMs = b.config.Clock.Now().UnixMilli()
 	b.keep(l)
+	return true
 }
 
 // keep takes in a report that this instance fetched itself.
@@ -150,7 +171,6 @@
 		}
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, l := range loads {
 		if l.Leaving {
 			b.leaving.hear(now, []string{l.Endpoint})
@@ -158,4 +178,6 @@
 	}
 	b.leaving.hear(now, leaving)
 	b.markLeaving()
+	b.mu.Unlock()
+	b.heard()
 }
