Take tokens from the ledger for instances that are cut off from the store

An instance that reaches the store now takes what is asked from the ledger, up to half of what is left, and gives it away.

Also: the line of a lease's change was written at every look for instances that had borrowed, since the loan was left out of the comparison.

--- a/members/members.go
+++ b/members/members.go
@@ -51,8 +51,8 @@
 	Log   log.Interface
 	// Configuration and Endpoints return what this instance holds, for others that ask.
 	Configuration, Endpoints func() *objectstore.Listing
-	// Lend gives up to the given tokens of this instance's lease of a customer's budget away.
-	Lend func(customer string, tokens int64) int64
+	// Lend gives up to the given tokens of a customer's budget away.
+	Lend func(ctx context.Context, customer string, tokens int64) int64
 }
 
 // Members is the list of instances. It is safe for concurrent use.
@@ -179,8 +179,7 @@
 	return decode(best), best != nil
 }
 
-// Borrow asks some instances for a part of their leases of a customer's budget, one after the other, until it has the
-// tokens wanted. It returns what it got.
+// Borrow asks some instances for tokens of a customer's budget, one after the other, until it has those wanted. It returns what it got.
 func (m *Members) Borrow(ctx context.Context, customer string, tokens int64) int64 {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
@@ -214,8 +213,8 @@
 }
 
 // Lend implements the Fleet service.
-func (m *Members) Lend(_ context.Context, q *api.LendRequest) (*api.LendReply, error) {
-	return &api.LendReply{Tokens: m.config.Lend(q.Customer, max(q.Tokens, 0))}, nil
+func (m *Members) Lend(ctx context.Context, q *api.LendRequest) (*api.LendReply, error) {
+	return &api.LendReply{Tokens: m.config.Lend(ctx, q.Customer, max(q.Tokens, 0))}, nil
 }
 
 // addresses returns those of some other instances, drawn at random.
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -163,6 +163,13 @@
 	return given
 }
 
+// discount keeps tokens that were taken for another instance out of this instance's rate.
+func (a *account) discount(tokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lastUsed += tokens
+}
+
 // borrow takes in tokens that another instance gave away.
 func (a *account) borrow(tokens int64) {
 	a.mu.Lock()
--- a/prepaid/keeper_test.go
+++ b/prepaid/keeper_test.go
@@ -89,7 +89,7 @@
 			lender.round(context.Background())
 			So(<-w.done, ShouldEqual, Granted)
 			lender.account("alwusta").settle(50_000, 0)
-			borrower.config.Borrow = func(_ context.Context, customer string, tokens int64) int64 { return lender.Lend(customer, tokens) }
+			borrower.config.Borrow = func(_ context.Context, customer string, tokens int64) int64 { return lender.account(customer).lend(tokens) }
 			store.next = "down"
 			clock.Advance(rereadAfter + time.Second)
 			need := borrower.account("alwusta").demand().limit + 5_000
@@ -100,8 +100,34 @@
 			So(lender.account("alwusta").demand().used, ShouldBeGreaterThanOrEqualTo, int64(5_000))
 		})
 
+		Convey("an instance that reaches the store takes tokens from the ledger for one that is cut off", func() {
+			lender, borrower := keepers[0], keepers[1]
+			ctx, stop := context.WithCancel(context.Background())
+			ran := make(chan error, 1)
+			go func() { ran <- lender.Run(ctx) }()
+			spare := lender.account("alwusta").demand().limit
+			got := lender.Lend(ctx, "alwusta", 200_000)
+			stop()
+			So(<-ran, ShouldBeNil)
+			So(got, ShouldEqual, 200_000)
+			So(spare, ShouldBeLessThan, 200_000)
+			borrower.account("alwusta").borrow(got)
+			So(borrower.account("alwusta").reserve(200_000), ShouldBeTrue)
+
+			Convey("and what is left counts them once", func() {
+				clock.Advance(rereadAfter + time.Second)
+				keepers[2].round(context.Background())
+				left, _ := keepers[2].account("alwusta").known(time.Time{})
+				So(left, ShouldBeLessThanOrEqualTo, prepaid-200_000)
+			})
+			Convey("but no more than a part of what is left, and nothing once the store is away", func() {
+				lender.failing.Store(clock.Now().UnixNano())
+				So(lender.Lend(context.Background(), "alwusta", 1<<40), ShouldBeLessThan, prepaid/lendPart)
+			})
+		})
+
 		Convey("a stopped instance gives back what it and its lenders did not spend", func() {
-			given := keepers[0].Lend("alwusta", 3_000)
+			given := keepers[0].account("alwusta").lend(3_000)
 			So(given, ShouldBeGreaterThan, int64(0))
 			keepers[1].account("alwusta").borrow(given)
 			for _, k := range keepers {
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -2,18 +2,61 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 )
 
-// Lend gives tokens of this instance's lease to another one. They count as spent here, so that the other may spend them.
-func (k *Keeper) Lend(customer string, tokens int64) int64 {
-	given := k.account(customer).lend(tokens)
-	if given > 0 {
+const (
+	// lendWait is how long an instance tries to take tokens from the ledger for another one, whose caller waits: some
+	// answers of the store, and less than the other waits for this instance.
+	lendWait = 100 * time.Millisecond
+	// lendPart bounds such a loan to one in lendPart of what is left, so that two instances that ask at once both get some.
+	lendPart = 2
+)
+
+// Lend gives tokens to an instance that is cut off from the store: of this instance's lease what it can spare, and the
+// rest from the ledger if it reaches the store. They count as spent here, so that the other may spend them.
+func (k *Keeper) Lend(ctx context.Context, customer string, tokens int64) int64 {
+	a := k.account(customer)
+	spared := a.lend(tokens)
+	taken := int64(0)
+	if spared < tokens && !k.storeAway(k.config.Clock.Now()) {
+		taken = k.takeFor(ctx, a, tokens-spared)
+	}
+	if given := spared + taken; given > 0 {
 		k.lent.Inc(given)
-		k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": given, "asked": tokens}).Info("prepaid: tokens lent")
+		k.config.Log.WithFields(log.Fields{"customer": customer, "tokens": given, "of_ledger": taken, "asked": tokens}).Info("prepaid: tokens lent")
+	}
+	return spared + taken
+}
+
+// takeFor takes tokens from the ledger for another instance. It returns what it got within lendWait.
+func (k *Keeper) takeFor(ctx context.Context, a *account, tokens int64) int64 {
+	left, _ := a.known(time.Time{})
+	tokens = min(tokens, left/lendPart)
+	if tokens <= 0 {
+		return 0
+	}
+	w, e := a.wait(tokens)
+	wake(k.kick)
+	outcome := Unavailable
+	select {
+	case outcome = <-w.done:
+	case <-k.config.Clock.After(lendWait):
+		if !a.leave(e) {
+			outcome = <-w.done
+		}
+	case <-ctx.Done():
+		if !a.leave(e) {
+			outcome = <-w.done
+		}
+	}
+	if outcome != Granted {
+		return 0
 	}
-	return given
+	a.discount(tokens)
+	return tokens
 }
 
 // RunLoans borrows from other instances while the store is away, until the context ends.
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -182,11 +182,28 @@
 				if from == to {
 					t.Skip("same")
 				}
-				given := m.keepers[from].Lend("alwusta", rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens"))
+				given := m.keepers[from].account("alwusta").lend(rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens"))
 				if rapid.Bool().Draw(t, "arrives") {
 					m.keepers[to].account("alwusta").borrow(given)
 				}
 			},
+			"loan of the ledger": func(t *rapid.T) {
+				from, to, tokens := pick.Draw(t, "from"), pick.Draw(t, "to"), rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens")
+				if from == to {
+					t.Skip("same")
+				}
+				a := m.keepers[from].account("alwusta")
+				w, e := a.wait(tokens)
+				m.store.next = rapid.SampledFrom([]string{"", "", "down", "lost", "late"}).Draw(t, "store")
+				m.keepers[from].round(context.Background())
+				m.store.next = ""
+				if a.leave(e) || <-w.done != Granted {
+					return
+				}
+				if rapid.Bool().Draw(t, "arrives") {
+					m.keepers[to].account("alwusta").borrow(tokens)
+				}
+			},
 			"kill": func(t *rapid.T) {
 				i := pick.Draw(t, "keeper")
 				for _, tokens := range m.open[i] {
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -213,7 +213,8 @@
 
 // logLease writes a line when a lease is about to change.
 func (k *Keeper) logLease(customer string, a *account, remaining, prepaid int64) {
-	d, limit := a.demand(), k.ledger.lease(customer, k.config.Incarnation)
+	d := a.demand()
+	limit := k.ledger.lease(customer, k.config.Incarnation) + d.borrowed
 	if limit == d.limit {
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -107,7 +107,9 @@
 		Clock: c.Clock, Log: c.Log,
 		Configuration: func() *objectstore.Listing { return r.configuration.Copy() },
 		Endpoints:     func() *objectstore.Listing { return r.endpoints.Copy() },
-		Lend:          func(customer string, tokens int64) int64 { return r.keeper.Lend(customer, tokens) },
+		Lend: func(ctx context.Context, customer string, tokens int64) int64 {
+			return r.keeper.Lend(ctx, customer, tokens)
+		},
 	})
 	r.configuration = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, Newest: r.members.NewestConfiguration,
