Try the one endpoint of a service again after its error, and pass on its own answer

The endpoint is tried again, within the route's attempts, and its own answer goes to the caller when none is better. Tests: three cases in TestRepeats, 502 in each before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -52,12 +52,12 @@
 	g := j.gateway
 	j.tried = make(map[string]bool)
 	g.config.Retries.Request(j.service, g.config.Clock.Now())
+	var last failure
 	for {
-		endpoints := g.config.Endpoints().Endpoints(j.service)
-		choice := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
+		choice := j.pick(last)
 		switch choice.Verdict {
 		case placement.NoEndpoint:
-			return j.giveUp(failure{reason: reasonNoEndpoint})
+			return j.giveUp(j.worthPassingOn(failure{reason: reasonNoEndpoint}))
 		case placement.Overloaded:
 			j.log().WithField("expected_ms", choice.Wait.Milliseconds()).Info("gateway: no engine answers in time")
 			return j.giveUp(failure{reason: reasonOverloaded, wait: choice.Wait})
@@ -68,15 +68,39 @@
 		if f == nil {
 			return nil
 		}
+		if f.passOn != nil {
+			j.answered = f
+		}
 		if !j.mayTryAgain(f) {
-			return j.giveUp(*f)
+			return j.giveUp(j.worthPassingOn(*f))
 		}
+		last = *f
 		g.counters.repeated[f.reason].Inc(1)
 		j.log().WithFields(log.Fields{"reason": string(f.reason), "endpoint": ticket.Endpoint.ID, "last_event": j.lastEvent}).
 			Info("gateway: trying another endpoint")
 	}
 }
 
+// pick chooses an endpoint that was not tried. After an endpoint's own error, when no other is left, it may be the same.
+func (j *job) pick(last failure) placement.Choice {
+	g := j.gateway
+	endpoints := g.config.Endpoints().Endpoints(j.service)
+	choice := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
+	if choice.Verdict == placement.NoEndpoint && last.passOn != nil {
+		return g.config.Chooser.Pick(endpoints, j.request(), nil, g.config.Clock.Now())
+	}
+	return choice
+}
+
+// worthPassingOn returns the failure that tells the caller most: an endpoint's own answer rather than that no other
+// endpoint gave one. A caller that left or whose time is up gets neither.
+func (j *job) worthPassingOn(f failure) failure {
+	if j.answered == nil || f.passOn != nil || f.reason == reasonCallerLeft || f.reason == reasonTimeout {
+		return f
+	}
+	return *j.answered
+}
+
 // try sends the request to one endpoint and passes the answer on. It returns nil once the caller has its whole answer.
 func (j *job) try(ticket *placement.Ticket) *failure {
 	clock := j.gateway.config.Clock
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -118,6 +118,33 @@
 			}
 		})
 	}
+	for _, c := range []struct {
+		name          string
+		first, second http.HandlerFunc
+		status        int
+		body          string
+	}{
+		{"is tried there again after an error", answers(500, "e"), answers(200, "x"), 200, "x"},
+		{"gets the endpoint's own error when that is all there is", answers(500, "e"), answers(500, "e again"), 500, "e again"},
+		{"gets the endpoint's own error when it ran nothing the second time", answers(500, "e"), refuses, 500, "e"},
+	} {
+		Convey("an idempotent request of a service with one endpoint "+c.name, t, func() {
+			var turn atomic.Int32
+			r := newRig(newEndpoint("i-1", func(w http.ResponseWriter, r *http.Request) {
+				if turn.Add(1) == 1 {
+					c.first(w, r)
+				} else {
+					c.second(w, r)
+				}
+			}))
+			Reset(r.close)
+			a := r.send("GET", "/fetch/", "", nil)
+			So(a.status, ShouldEqual, c.status)
+			So(a.body, ShouldEqual, c.body)
+			So(a.header.Get("X-Server-Stamp"), ShouldNotBeEmpty)
+			So(r.runs(), ShouldEqual, 2)
+		})
+	}
 	Convey("an endpoint that cannot be reached was sent nothing, so that any request goes to another", t, func() {
 		e := newEndpoint("i-1", answers(200, "x"))
 		dead := newEndpoint("i-2", nil)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -48,6 +48,8 @@
 	// sent counts the endpoints that the request was sent to, dials those that could not be reached.
 	sent, dials int
 	tried       map[string]bool
+	// answered is the last failure that was an endpoint's own answer.
+	answered *failure
 
 	// headerSent is set once the answer's header has gone to the caller.
 	headerSent bool
