Stop choosing a lapsed endpoint at its moment, not at the next look

Cause: an endpoint whose entry vanishes just after the store's return is kept for 1.8 s, as it may only have lapsed. Every choice now compares the time itself. Test: the view at 1,799 and 1,800 ms; before, the view did not change until a tick.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -84,10 +84,11 @@
 // pick chooses an endpoint that was not tried. After an endpoint's own error, when no other is left, it may be the same.
 func (j *job) pick(last failure) placement.Choice {
 	g := j.gateway
-	endpoints := g.config.Endpoints().Endpoints(j.service)
-	choice := g.config.Chooser.Pick(endpoints, j.request(), j.tried, g.config.Clock.Now())
+	now := g.config.Clock.Now()
+	endpoints := g.config.Endpoints().Endpoints(j.service, now)
+	choice := g.config.Chooser.Pick(endpoints, j.request(), j.tried, now)
 	if choice.Verdict == placement.NoEndpoint && last.passOn != nil {
-		return g.config.Chooser.Pick(endpoints, j.request(), nil, g.config.Clock.Now())
+		return g.config.Chooser.Pick(endpoints, j.request(), nil, now)
 	}
 	return choice
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -43,21 +43,36 @@
 type View struct {
 	Revision objectstore.Revision
 	services map[string][]Endpoint
+	// lapsed are endpoints whose entries are missing, which may still get requests until a time.
+	lapsed map[string][]lapsed
 }
 
-// Endpoints returns those of a service. The caller must not change the slice.
-func (v *View) Endpoints(service string) []Endpoint {
+// Endpoints returns those of a service that may get requests at a time. The caller must not change the slice.
+func (v *View) Endpoints(service string, now time.Time) []Endpoint {
 	if v == nil {
 		return nil
 	}
-	return v.services[service]
+	listed := v.services[service]
+	if len(v.lapsed[service]) == 0 {
+		return listed
+	}
+	out := append([]Endpoint(nil), listed...)
+	for _, l := range v.lapsed[service] {
+		if now.Before(l.until) {
+			out = append(out, l.endpoint)
+		}
+	}
+	return out
 }
 
 // Services returns how many endpoints each service has.
 func (v *View) Services() map[string]int {
 	out := make(map[string]int)
 	for s, list := range v.services {
-		out[s] = len(list)
+		out[s] += len(list)
+	}
+	for s, list := range v.lapsed {
+		out[s] += len(list)
 	}
 	return out
 }
@@ -159,14 +174,14 @@
 
 // View returns the endpoints that may get new requests.
 func (s *Set) View() *View {
-	v := &View{Revision: s.revision, services: make(map[string][]Endpoint)}
+	v := &View{Revision: s.revision, services: make(map[string][]Endpoint), lapsed: make(map[string][]lapsed)}
 	for _, e := range s.entries {
 		if !e.Leaving {
 			v.services[e.Service] = append(v.services[e.Service], e)
 		}
 	}
 	for _, l := range s.lapsed {
-		v.services[l.endpoint.Service] = append(v.services[l.endpoint.Service], l.endpoint)
+		v.lapsed[l.endpoint.Service] = append(v.lapsed[l.endpoint.Service], l)
 	}
 	return v
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -10,9 +10,11 @@
 	"pumiceshelf/registry"
 )
 
-func ids(v *registry.View) map[string]bool {
+func ids(v *registry.View) map[string]bool { return idsAt(v, time.Unix(0, 0)) }
+
+func idsAt(v *registry.View, now time.Time) map[string]bool {
 	out := make(map[string]bool)
-	for _, e := range v.Endpoints("model") {
+	for _, e := range v.Endpoints("model", now) {
 		out[e.ID] = true
 	}
 	return out
@@ -53,6 +55,11 @@
 			So(ids(s.View()), ShouldResemble, map[string]bool{"i-1": true, "i-2": true})
 			So(s.Expire(now.Add(1700*time.Millisecond)), ShouldBeFalse)
 
+			Convey("to the moment, whenever the set is next looked at", func() {
+				v := s.View()
+				So(idsAt(v, now.Add(1799*time.Millisecond)), ShouldHaveLength, 2)
+				So(idsAt(v, now.Add(1800*time.Millisecond)), ShouldResemble, map[string]bool{"i-2": true})
+			})
 			Convey("then given up", func() {
 				So(s.Expire(now.Add(1900*time.Millisecond)), ShouldBeTrue)
 				So(ids(s.View()), ShouldResemble, map[string]bool{"i-2": true})
