Work out who holds a domain's tokens once a listing, not at each request

Members kept the listing and sorted it by a hash at every look at leases and every draw. An instance that sees no other still asks its seeds. Connections to other instances are closed when the list is no longer kept.

The processor time saved was not measured.

--- a/members/lending.go
+++ b/members/lending.go
@@ -1,26 +1,18 @@
 package members
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"pumiceshelf/api"
-	"pumiceshelf/instance"
 	"pumiceshelf/prepaid"
 )
 
 const (
-	// sharedFrom is the number of instances of a failure domain from which one of them holds the tokens of all. Fewer hold
-	// their own: with two or three, a holder that is cut off or crashes costs more than the calls saved; with 24, each one's
-	// part is less than a large request.
-	sharedFrom = 6
 	// silentFor is how long an instance that did not answer is passed over: dead ones stay listed until they come back.
 	silentFor = time.Second
 	// holdersAsked bounds the instances that are asked for tokens that a request waits for.
@@ -48,70 +40,11 @@
 	return now.Before(s.until[address])
 }
 
-// holdersBefore returns the addresses of the instances of this failure domain that hold its tokens rather than this one,
-// in order. All instances order them alike, by a hash of their names, so that a domain has one holder while its
-// instances see the same list; that they may not costs calls to the store and no tokens. There are none in a small domain.
-func (m *Members) holdersBefore() []string {
-	own := holderRank(m.config.Incarnation)
-	var before []string
-	inDomain := 1
-	for _, member := range m.ranked() {
-		if member.Domain != m.config.Self.Domain {
-			continue
-		}
-		inDomain++
-		if holderRank(instance.Incarnation(member.Incarnation)) < own {
-			before = append(before, member.PeerAddress)
-		}
-	}
-	if inDomain < sharedFrom {
-		return nil
-	}
-	return before
-}
-
-// ranked returns the other instances in the order in which they hold their domains' tokens.
-func (m *Members) ranked() []*api.FleetMember {
-	l := m.list.Load()
-	if l == nil {
-		return nil
-	}
-	var out []*api.FleetMember
-	for _, member := range *l {
-		if member.PeerAddress != m.config.Self.PeerAddress {
-			out = append(out, member)
-		}
-	}
-	slices.SortFunc(out, func(a, b *api.FleetMember) int {
-		return cmp.Compare(holderRank(instance.Incarnation(a.Incarnation)), holderRank(instance.Incarnation(b.Incarnation)))
-	})
-	return out
-}
-
-// lenders returns some instances to borrow from: the holders of the other domains, then any.
-func (m *Members) lenders() []string {
-	var out []string
-	seen := map[string]bool{m.config.Self.Domain: true}
-	for _, member := range m.ranked() {
-		if !seen[member.Domain] {
-			seen[member.Domain] = true
-			out = append(out, member.PeerAddress)
-		}
-	}
-	for _, address := range m.addresses() {
-		if !slices.Contains(out, address) {
-			out = append(out, address)
-		}
-	}
-	return out[:min(len(out), askedAtOnce)]
-}
-
-func holderRank(i instance.Incarnation) uint64 { return xxhash.Sum64String(i.Name()) }
-
-// Holds says whether this instance is the one of its failure domain that holds the domain's tokens.
+// Holds says whether this instance holds tokens of its own: it is the one that does so for its failure domain, or its
+// domain is small.
 func (m *Members) Holds() bool {
 	now := m.config.Clock.Now()
-	for _, address := range m.holdersBefore() {
+	for _, address := range m.roster.Load().before {
 		if !m.silent.is(address, now) {
 			return false
 		}
@@ -119,31 +52,14 @@
 	return true
 }
 
-// Holders returns how many instances hold tokens, as far as is known: one of each large domain, and all of small ones.
-func (m *Members) Holders() int {
-	l := m.list.Load()
-	if l == nil {
-		return m.Count()
-	}
-	inDomain := make(map[string]int)
-	for _, member := range *l {
-		inDomain[member.Domain]++
-	}
-	sum := 0
-	for _, n := range inDomain {
-		if n >= sharedFrom {
-			n = 1
-		}
-		sum += n
-	}
-	return max(sum, 1)
-}
+// Holders returns how many instances hold tokens, as far as is known.
+func (m *Members) Holders() int { return m.roster.Load().holders }
 
 // Draw asks the instances that hold this failure domain's tokens for what a request needs, and for what is wanted besides.
 // The next one is asked only if one does not answer or does not reach the ledger.
 func (m *Members) Draw(ctx context.Context, customer string, needed, wanted int64) prepaid.Provision {
 	now, asked := m.config.Clock.Now(), 0
-	for _, address := range m.holdersBefore() {
+	for _, address := range m.roster.Load().before {
 		if asked == holdersAsked || ctx.Err() != nil {
 			break
 		}
@@ -169,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	got := int64(0)
-	for _, address := range m.lenders() {
+	for _, address := range m.roster.Load().lenders() {
 		if got >= tokens || ctx.Err() != nil {
 			break
 		}
--- a/members/lending_test.go
+++ b/members/lending_test.go
@@ -68,7 +68,7 @@
 		list = append(list, self)
 	}
 	for _, p := range peers {
-		p.list.Store(&list)
+		p.see(list)
 	}
 	return peers, clock
 }
@@ -83,7 +83,7 @@
 	}
 	for i := range out {
 		for j := i + 1; j < len(out); j++ {
-			if len(out[j].holdersBefore()) < len(out[i].holdersBefore()) {
+			if len(out[j].roster.Load().before) < len(out[i].roster.Load().before) {
 				out[i], out[j] = out[j], out[i]
 			}
 		}
@@ -91,6 +91,19 @@
 	return out
 }
 
+func TestRoster(t *testing.T) {
+	Convey("an instance that sees no other one asks the seeds, and holds its own tokens", t, func() {
+		self := &api.FleetMember{Incarnation: string(instance.NewIncarnation("a1")), PeerAddress: "10.0.0.1:1", Domain: "a"}
+		m := New(Config{Self: self, Clock: clockwork.NewFakeClock(), Seeds: []string{"10.0.0.1:1", "10.0.0.2:1"}})
+		for _, list := range [][]*api.FleetMember{nil, {self}} {
+			m.see(list)
+			So(m.roster.Load().lenders(), ShouldResemble, []string{"10.0.0.2:1"})
+			So(m.Holds(), ShouldBeTrue)
+			So(m.Count(), ShouldEqual, 2)
+		}
+	})
+}
+
 func TestDraw(t *testing.T) {
 	Convey("Given a domain of six instances and another of two", t, func() {
 		peers, clock := newFleet(t, "a1", "a2", "a3", "a4", "a5", "a6", "b1", "b2")
--- a/members/members.go
+++ b/members/members.go
@@ -65,7 +65,7 @@
 // Members is the list of instances. It is safe for concurrent use.
 type Members struct {
 	config Config
-	list   atomic.Pointer[[]*api.FleetMember]
+	roster atomic.Pointer[roster]
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	silent silences
 	// version of the own entry; zero when it is not in the store.
@@ -74,20 +74,31 @@
 
 // New returns a list that knows the seeds only.
 func New(c Config) *Members {
-	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConn, KeyCapacity: connsKept})
-	return &Members{config: c, pool: pool}
+	m := &Members{config: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConn, KeyCapacity: connsKept})}
+	m.see(nil)
+	return m
 }
 
-// Count returns how many instances there are as far as is known, itself included.
-func (m *Members) Count() int {
-	if l := m.list.Load(); l != nil {
-		return max(len(*l), 1)
+// see takes a listing in. One without other instances, as at the start of a fleet, leaves the seeds, whose domains are not
+// known, so that none of them is a holder.
+func (m *Members) see(list []*api.FleetMember) {
+	r := newRoster(list, m.config.Self)
+	if len(r.others) == 0 {
+		var seeds []*api.FleetMember
+		for _, address := range m.config.Seeds {
+			seeds = append(seeds, &api.FleetMember{PeerAddress: address})
+		}
+		r = newRoster(seeds, m.config.Self)
 	}
-	return max(len(m.config.Seeds), 1)
+	m.roster.Store(r)
 }
 
+// Count returns how many instances there are as far as is known, itself included.
+func (m *Members) Count() int { return len(m.roster.Load().others) + 1 }
+
 // Run registers this instance and lists the others until the context ends.
 func (m *Members) Run(ctx context.Context) error {
+	defer m.closeConns()
 	for {
 		if err := m.refresh(ctx); err != nil && ctx.Err() == nil {
 			m.config.Log.WithError(err).Info("members: not refreshed")
@@ -100,6 +111,13 @@
 	}
 }
 
+// closeConns closes the connections that are kept to other instances.
+func (m *Members) closeConns() {
+	if err := m.pool.Close(); err != nil {
+		m.config.Log.WithError(err).Info("members: a connection did not close")
+	}
+}
+
 func (m *Members) refresh(ctx context.Context) error {
 	if err := m.register(ctx); err != nil {
 		return err
@@ -117,7 +135,7 @@
 		}
 		list = append(list, member)
 	}
-	m.list.Store(&list)
+	m.see(list)
 	return nil
 }
 
@@ -171,7 +189,7 @@
 func (m *Members) newest(ctx context.Context, q *api.NewestRequest, pick func(*api.NewestReply) *api.Collection) (objectstore.Listing, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	addresses := m.addresses()
+	addresses := m.roster.Load().some()
 	answers := make(chan *api.Collection, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -191,30 +209,6 @@
 	return decode(best), best != nil
 }
 
-// addresses returns those of some other instances, drawn at random.
-func (m *Members) addresses() []string {
-	seen := map[string]bool{m.config.Self.PeerAddress: true, "": true}
-	var out []string
-	add := func(a string) {
-		if !seen[a] {
-			seen[a] = true
-			out = append(out, a)
-		}
-	}
-	if l := m.list.Load(); l != nil {
-		for _, member := range *l {
-			add(member.PeerAddress)
-		}
-	}
-	if len(out) == 0 {
-		for _, a := range m.config.Seeds {
-			add(a)
-		}
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), askedAtOnce)]
-}
-
 func (m *Members) ask(ctx context.Context, address string, q *api.NewestRequest) (*api.NewestReply, error) {
 	conn, err := m.config.Dial(ctx, address)
 	if err != nil {
