List the other instances at the price of a stale reading

The members' list may be seconds old, but for the first one at a start; the store charges a tenth for such a listing.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -38,6 +38,10 @@
 	return l, err
 }
 
+func (s *script) ListRecent(ctx context.Context, collection string) (objectstore.Listing, error) {
+	return s.ListAll(ctx, collection)
+}
+
 func (s *script) WatchAll(_ context.Context, _ string, after objectstore.Revision, _ time.Duration) (objectstore.Changes, error) {
 	s.calls = append(s.calls, "watch")
 	_, c, err := s.next()
--- a/members/members.go
+++ b/members/members.go
@@ -68,6 +68,8 @@
 	roster atomic.Pointer[roster]
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 	silent silences
+	// listed says that the instances have been listed once.
+	listed bool
 	// version of the own entry; zero when it is not in the store.
 	version objectstore.Version
 }
@@ -122,10 +124,16 @@
 	if err := m.register(ctx); err != nil {
 		return err
 	}
-	l, err := m.config.Collections.ListAll(ctx, Collection)
+	// A listing that is some seconds old is good enough, but for the first one.
+	listing := m.config.Collections.ListRecent
+	if !m.listed {
+		listing = m.config.Collections.ListAll
+	}
+	l, err := listing(ctx, Collection)
 	if err != nil {
 		return err
 	}
+	m.listed = true
 	var list []*api.FleetMember
 	for _, o := range l.Objects {
 		member := &api.FleetMember{}
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -141,6 +141,15 @@
 	return l, c.leave(err)
 }
 
+// ListRecent implements Collections.
+func (c *Client) ListRecent(ctx context.Context, collection string) (Listing, error) {
+	if err := c.enter(ctx, c.counters.reads); err != nil {
+		return Listing{}, err
+	}
+	l, err := c.config.Collections.ListRecent(ctx, collection)
+	return l, c.leave(err)
+}
+
 // WatchAll implements Collections.
 func (c *Client) WatchAll(ctx context.Context, collection string, after Revision, wait time.Duration) (Changes, error) {
 	if err := c.enter(ctx, c.counters.watches); err != nil {
--- a/objectstore/collection.go
+++ b/objectstore/collection.go
@@ -36,6 +36,8 @@
 type Collections interface {
 	// ListAll returns the whole collection.
 	ListAll(ctx context.Context, collection string) (Listing, error)
+	// ListRecent returns the whole collection as it was up to some seconds ago. It costs the store less than ListAll.
+	ListRecent(ctx context.Context, collection string) (Listing, error)
 	// WatchAll waits up to the given time for changes after a revision. No change in that time is no error.
 	// It returns ErrHistoryGone when the changes since the revision are no longer known.
 	WatchAll(ctx context.Context, collection string, after Revision, wait time.Duration) (Changes, error)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -96,6 +96,10 @@
 	return nil
 }
 
+func (m *memoryStore) ListRecent(ctx context.Context, collection string) (objectstore.Listing, error) {
+	return m.ListAll(ctx, collection)
+}
+
 func (m *memoryStore) ListAll(_ context.Context, collection string) (objectstore.Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
