Do not take a lost race for the ledger for an outage of the store

Cause: eight conflicts in a row counted as a failed call. The instance then took the store for away for 2.5 s, refused its waiters, and as a holder told its domain so, which sent all of it to the ledger: more races lost. Waiters now wait for the next round. Test: TestContention, refused and away before.

--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -123,6 +123,27 @@
 	})
 }
 
+// contendedStore lets other instances win every race for the ledger.
+type contendedStore struct{ *ledgerStore }
+
+func (s contendedStore) Put(context.Context, string, []byte, objectstore.Version) (objectstore.Version, error) {
+	s.version++
+	return 0, &objectstore.ConflictError{Current: objectstore.Object{Key: LedgerKey, Version: s.version, Value: s.value}}
+}
+
+func TestContention(t *testing.T) {
+	Convey("an instance that loses all races for the ledger does not take the store for away, nor its waiters for refused", t, func() {
+		prepaid := int64(1_000_000)
+		k := testKeeper(contendedStore{&ledgerStore{version: 1, value: []byte("{}")}}, "muscat-1", clockwork.NewFakeClock(), &prepaid, 1)
+		w, e := k.account("alwusta").wait(700)
+		k.round(context.Background())
+		So(len(w.done), ShouldEqual, 0)
+		So(k.storeAway(k.config.Clock.Now()), ShouldBeFalse)
+		So(k.account("alwusta").leave(e), ShouldBeTrue)
+		So(k.Provide(canceled(), "alwusta", 700, 700), ShouldResemble, Provision{})
+	})
+}
+
 // canceled is a context that waits for nothing.
 func canceled() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -22,6 +22,12 @@
 		return
 	}
 	err := k.update(ctx)
+	if errors.Is(err, objectstore.ErrConflict) {
+		// The store answers, other instances were faster. Waiters wait for the next round.
+		k.config.Log.WithField("ledger_version", uint64(k.version)).Info("prepaid: ledger not updated, others were faster")
+		k.note(nil)
+		return
+	}
 	k.note(err)
 	if err != nil && k.config.Borrow != nil {
 		wake(k.borrow)
