--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -163,11 +163,11 @@
 	return given
 }
 
-// ahead returns what is used in a time at the present rate.
-func (a *account) ahead(time time.Duration) int64 {
+// ahead returns what is used in a span of time at the present rate.
+func (a *account) ahead(span time.Duration) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int64(a.ratePerSecond * time.Seconds())
+	return int64(a.ratePerSecond * span.Seconds())
 }
 
 // discount keeps tokens that were taken for another instance out of this instance's rate.
--- a/prepaid/ledger.go
+++ b/prepaid/ledger.go
@@ -1,10 +1,11 @@
-// Package prepaid keeps customers within their prepaid budgets without asking another instance. Each instance holds a
-// quota lease for each customer, taken from a shared ledger in the object store by conditional updates, and reserves
-// requests against it in memory.
+// Package prepaid keeps customers within their prepaid budgets. An instance holds a quota lease for each customer, taken
+// from a shared ledger in the object store by conditional updates, and reserves requests against it in memory. In a large
+// failure domain one instance holds the leases, and the others draw tokens from it. An instance that is cut off from the
+// store borrows from others.
 //
 // Invariant: in every version of the ledger, what is closed and what all leases may spend stays within the prepaid total
 // whenever an update raises it; and an instance never has more reserved and spent than the ledger that it last read or
-// wrote allows it. No clock takes part in it, so a paused holder may wake at any time. What a crashed instance had not
+// wrote allows it. Tokens given to another instance count as spent by the one that gives them. No clock takes part in it, so a paused holder may wake at any time. What a crashed instance had not
 // spent of its leases stays parked: no one can know how much that was.
 package prepaid
 
