--- a/prepaid/ledger.go
+++ b/prepaid/ledger.go
@@ -5,8 +5,9 @@
 //
 // Invariant: in every version of the ledger, what is closed and what all leases may spend stays within the prepaid total
 // whenever an update raises it; and an instance never has more reserved and spent than the ledger that it last read or
-// wrote allows it. Tokens given to another instance count as spent by the one that gives them. No clock takes part in it, so a paused holder may wake at any time. What a crashed instance had not
-// spent of its leases stays parked: no one can know how much that was.
+// wrote allows it. Tokens given to another instance count as spent by the one that gives them. No clock takes part in
+// it, so a paused holder may wake at any time. What a crashed instance had not spent of its leases stays parked: no one
+// can know how much that was.
 package prepaid
 
 import (
