Do not blame a domain's holder for a caller that left

Cause, found reading the change: a caller that leaves while its instance draws tokens ends the call, and the holder was then passed over for 1 s as if it had not answered. Test in TestDraw: passed over before, not now.

--- a/members/lending.go
+++ b/members/lending.go
@@ -69,6 +69,8 @@
 		asked++
 		reply, err := m.callLend(ctx, address, &api.LendRequest{Customer: customer, Tokens: wanted, Needed: needed})
 		switch {
+		case err != nil && ctx.Err() != nil:
+			// The caller left: that says nothing about the instance.
 		case err != nil:
 			m.silent.note(address, now.Add(silentFor))
 			m.config.Log.WithField("address", address).WithError(err).Info("members: holder of the domain's tokens does not answer")
--- a/members/lending_test.go
+++ b/members/lending_test.go
@@ -149,6 +149,16 @@
 			clock.Advance(silentFor + time.Millisecond)
 			So(a[2].silent.is(gone, clock.Now()), ShouldBeFalse)
 		})
+		Convey("a request whose caller leaves says nothing about the holder", func() {
+			left, leave := context.WithCancel(ctx)
+			defer leave()
+			a[2].config.Dial = func(context.Context, string) (net.Conn, error) {
+				leave()
+				return nil, context.Canceled
+			}
+			So(a[2].Draw(left, "alwusta", 300, 300), ShouldResemble, prepaid.Provision{Away: true})
+			So(a[2].silent.is(a[0].config.Self.PeerAddress, clock.Now()), ShouldBeFalse)
+		})
 		Convey("a holder that is cut off from the store borrows from the other domain's", func() {
 			b[0].gives, b[1].gives = 700, 700
 			So(a[0].Borrow(ctx, "alwusta", 500), ShouldEqual, 500)
