--- a/members/lending.go
+++ b/members/lending.go
@@ -115,7 +115,11 @@
 		return drpcconn.New(raw), nil
 	})
 	defer conn.Close()
-	return api.NewDRPCFleetClient(conn).Lend(ctx, request)
+	reply, err := api.NewDRPCFleetClient(conn).Lend(ctx, request)
+	if err != nil && m.config.Unanswered != nil {
+		m.config.Unanswered(request.Customer, request.Tokens)
+	}
+	return reply, err
 }
 
 // Lend implements the Fleet service. A request that names needed tokens is an allocation, any other a loan.
--- a/members/members.go
+++ b/members/members.go
@@ -63,6 +63,8 @@
 	// Allocate passes tokens of a customer's budget on to an instance of the same failure domain: from the needed to the
 	// wanted number, or none.
 	Allocate func(ctx context.Context, customer string, needed, wanted int64) prepaid.Allocation
+	// Unanswered is called for each loan or allocation request without a response. It may be nil.
+	Unanswered func(customer string, tokens int64)
 }
 
 // Members is the list of instances. It is safe for concurrent use.
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -112,7 +112,12 @@
 	// outageLogged is set while the last logged state of the ledger is unavailable.
 	outageLogged bool
 
-	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent metrics.Counter
+	// leasesInAdvance and statusAt are what the last status line said, and when.
+	leasesInAdvance bool
+	statusAt        time.Time
+
+	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent, unanswered metrics.Counter
+	unspent                                                                                 metrics.Gauge
 }
 
 // NewManager returns a manager without leases. Run acquires them.
@@ -122,7 +127,7 @@
 		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
 		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
-		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r),
+		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r), unspent: descUnspent.Gauge(r),
 	}
 }
 
@@ -244,6 +249,7 @@
 			return nil
 		case <-ticker.Chan():
 			m.updateRates()
+			m.reportStatus()
 		case <-m.updateSignal:
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -114,6 +114,7 @@
 		Allocate: func(ctx context.Context, customer string, needed, wanted int64) prepaid.Allocation {
 			return r.prepaid.Allocate(ctx, customer, needed, wanted)
 		},
+		Unanswered: func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
 	})
 	r.configurationFollower = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, QueryPeers: r.members.FetchNewerConfiguration,
