Take back tokens whose response another instance did not receive

Callers saw 402 while their budget was not used up. An instance counts tokens as spent when it passes them on. If the response came after the other instance had given up (150 ms), nobody could spend them.

Requests for tokens now carry the borrower's incarnation and a sequence number. The borrower abandons each request without a response and repeats this until the lender answers, for 20 s at most. The lender takes the tokens back once, and grants nothing for a request that arrives after it was abandoned. It is safe, since a call either returns tokens or an error, never both; a lender that has restarted knows no such request.

--- a/members/lending.go
+++ b/members/lending.go
@@ -103,30 +103,35 @@
 	return borrowed
 }
 
-// callLend sends a loan or allocation request to one instance. If the response is lost, no instance spends the tokens.
+// callLend sends a loan or allocation request to one instance. If it returns an error, the request is abandoned, and the
+// other instance takes back tokens that it may have passed on.
 func (m *Members) callLend(ctx context.Context, address string, request *api.LendRequest) (*api.LendReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
 	defer cancel()
-	conn := m.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		raw, err := m.config.Dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return drpcconn.New(raw), nil
-	})
+	request.Borrower, request.Sequence = string(m.config.Incarnation), m.lendSequence.Add(1)
+	conn := m.pool.Get(ctx, address, m.dialPeer)
 	defer conn.Close()
 	reply, err := api.NewDRPCFleetClient(conn).Lend(ctx, request)
-	if err != nil && m.config.Unanswered != nil {
-		m.config.Unanswered(request.Customer, request.Tokens)
+	if err != nil {
+		m.recordUnanswered(address, request)
 	}
 	return reply, err
 }
 
+// dialPeer connects to another instance.
+func (m *Members) dialPeer(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := m.config.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
 // Lend implements the Fleet service. A request that names needed tokens is an allocation, any other a loan.
 func (m *Members) Lend(ctx context.Context, request *api.LendRequest) (*api.LendReply, error) {
 	if request.Needed <= 0 {
-		return &api.LendReply{Tokens: m.config.Lend(ctx, request.Customer, max(request.Tokens, 0))}, nil
+		return &api.LendReply{Tokens: m.config.Lend(ctx, transferID(request), request.Customer, max(request.Tokens, 0))}, nil
 	}
-	allocation := m.config.Allocate(ctx, request.Customer, request.Needed, max(request.Tokens, request.Needed))
+	allocation := m.config.Allocate(ctx, transferID(request), request.Customer, request.Needed, max(request.Tokens, request.Needed))
 	return &api.LendReply{Tokens: allocation.Tokens, Exhausted: allocation.Exhausted, Away: allocation.StoreUnavailable}, nil
 }
--- a/members/lending_test.go
+++ b/members/lending_test.go
@@ -46,11 +46,11 @@
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 			},
-			Lend: func(_ context.Context, _ string, tokens int64) int64 {
+			Lend: func(_ context.Context, _ prepaid.TransferID, _ string, tokens int64) int64 {
 				p.requests++
 				return min(tokens, p.lendable)
 			},
-			Allocate: func(_ context.Context, _ string, needed, wanted int64) prepaid.Allocation {
+			Allocate: func(_ context.Context, _ prepaid.TransferID, _ string, needed, wanted int64) prepaid.Allocation {
 				p.requests++
 				if p.lendable < needed {
 					return prepaid.Allocation{Exhausted: p.exhausted, StoreUnavailable: p.storeUnavailable}
--- a/members/members.go
+++ b/members/members.go
@@ -59,10 +59,12 @@
 	// Configuration and Endpoints return this instance's cached listings, to serve requests of other instances.
 	Configuration, Endpoints func() *objectstore.Listing
 	// Lend passes on up to the given number of tokens of a customer's budget, and returns how many.
-	Lend func(ctx context.Context, customer string, tokens int64) int64
+	Lend func(ctx context.Context, id prepaid.TransferID, customer string, tokens int64) int64
 	// Allocate passes tokens of a customer's budget on to an instance of the same failure domain: from the needed to the
 	// wanted number, or none.
-	Allocate func(ctx context.Context, customer string, needed, wanted int64) prepaid.Allocation
+	Allocate func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation
+	// Abandon takes back the tokens of requests of another instance that did not receive the responses.
+	Abandon func(borrower instance.Incarnation, sequences []uint64)
 	// Unanswered is called for each loan or allocation request without a response. It may be nil.
 	Unanswered func(customer string, tokens int64)
 }
@@ -73,6 +75,8 @@
 	roster       atomic.Pointer[roster]
 	pool         *drpcpool.Pool[string, drpcpool.Conn]
 	unresponsive unresponsiveSet
+	unanswered   unansweredRequests
+	lendSequence atomic.Uint64
 	// hasListed is set after the first successful listing.
 	hasListed bool
 	// entryVersion is the version of this instance's entry, zero if it is not in the store.
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -77,6 +77,16 @@
 	a.grantWaiters()
 }
 
+// takeBack makes tokens available again that were counted as spent when they were passed on, and did not arrive.
+func (a *account) takeBack(tokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.used -= tokens
+	a.rateBaseline = min(a.rateBaseline, a.used)
+	invariant.Check(a.used >= 0, component, "%d tokens taken back, %d used", tokens, a.used)
+	a.grantWaiters()
+}
+
 // addWaiter queues a reservation until the lease covers it.
 func (a *account) addWaiter(tokens int64) (*waiter, *list.Element) {
 	w := &waiter{tokens: tokens, done: make(chan Outcome, 1)}
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -31,6 +31,7 @@
 	domains  [][]*Manager
 	// unresponsive holds, for each instance, the positions in its domain that it skips until a time.
 	unresponsive map[*Manager]map[int]time.Time
+	sequence     uint64
 
 	spent                   int64
 	granted, refused, ticks int
@@ -88,8 +89,11 @@
 			continue
 		}
 		asked++
-		allocation := f.allocate(f.domains[domain][before], customer, needed, wanted)
+		f.sequence++
+		id, lender := TransferID{Borrower: m.config.Incarnation, Sequence: f.sequence}, f.domains[domain][before]
+		allocation := f.allocate(lender, id, customer, needed, wanted)
 		if f.random.Float64() < f.lossRate {
+			lender.Abandon(id.Borrower, []uint64{id.Sequence})
 			f.unresponsive[m][before] = f.clock.Now().Add(testUnresponsiveTime)
 			continue
 		}
@@ -101,14 +105,14 @@
 }
 
 // allocate requests an allocation and lets the instance update the ledger if its lease does not cover it.
-func (f *testFleet) allocate(m *Manager, customer string, needed, wanted int64) Allocation {
-	allocation := m.Allocate(canceledContext(), customer, needed, wanted)
+func (f *testFleet) allocate(m *Manager, id TransferID, customer string, needed, wanted int64) Allocation {
+	allocation := m.Allocate(canceledContext(), id, customer, needed, wanted)
 	if allocation.Tokens > 0 || allocation.Exhausted {
 		return allocation
 	}
 	switch f.waitForLease(m, needed) {
 	case Granted:
-		return Allocation{Tokens: needed}
+		return Allocation{Tokens: m.transfers.complete(id, needed)}
 	case Exhausted:
 		return Allocation{Exhausted: true}
 	default:
--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -45,7 +45,9 @@
 		for i, name := range []string{"muscat-2", "muscat-3"} {
 			m := newTestManager(stores[i], name, clock, &prepaid, 1)
 			m.config.IsTokenHolder = func() bool { return false }
-			m.config.RequestAllocation = holder.Allocate
+			m.config.RequestAllocation = func(ctx context.Context, customer string, needed, wanted int64) Allocation {
+				return holder.Allocate(ctx, TransferID{}, customer, needed, wanted)
+			}
 			others = append(others, m)
 		}
 		ctx := context.Background()
@@ -97,8 +99,8 @@
 		Convey("a token holder that is disconnected from the store allocates its lease, and then reports the store unavailable at once", func() {
 			holder.storeFailedAt.Store(clock.Now().UnixNano())
 			available := holder.account("alwusta").demand().limit
-			So(holder.Allocate(ctx, "alwusta", available, available+1), ShouldResemble, Allocation{Tokens: available})
-			So(holder.Allocate(ctx, "alwusta", 10, 10), ShouldResemble, Allocation{StoreUnavailable: true})
+			So(holder.Allocate(ctx, TransferID{}, "alwusta", available, available+1), ShouldResemble, Allocation{Tokens: available})
+			So(holder.Allocate(ctx, TransferID{}, "alwusta", 10, 10), ShouldResemble, Allocation{StoreUnavailable: true})
 		})
 
 		Convey("when the token holder is unresponsive, an instance leases only the tokens that its requests wait for", func() {
@@ -110,7 +112,7 @@
 		})
 
 		Convey("an instance that allocates to others leases tokens in advance until allocationWindow after their last request", func() {
-			So(others[0].Allocate(canceledContext(), "alwusta", 700, 900).Exhausted, ShouldBeFalse)
+			So(others[0].Allocate(canceledContext(), TransferID{}, "alwusta", 700, 900).Exhausted, ShouldBeFalse)
 			clock.Advance(minUpdateInterval)
 			others[0].resizeLeases(ctx)
 			So(others[0].account("alwusta").demand().limit, ShouldBeGreaterThan, 2_000)
@@ -140,7 +142,7 @@
 		So(len(w.done), ShouldEqual, 0)
 		So(m.storeUnavailable(m.config.Clock.Now()), ShouldBeFalse)
 		So(m.account("alwusta").removeWaiter(e), ShouldBeTrue)
-		So(m.Allocate(canceledContext(), "alwusta", 700, 700), ShouldResemble, Allocation{})
+		So(m.Allocate(canceledContext(), TransferID{}, "alwusta", 700, 700), ShouldResemble, Allocation{})
 	})
 }
 
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -19,18 +19,22 @@
 // Lend passes tokens on to an instance that is disconnected from the store, and returns their number. They come from the
 // unneeded part of this instance's lease and, if the store is available, from the ledger. They count as spent here, so
 // that the borrower may spend them.
-func (m *Manager) Lend(ctx context.Context, customer string, tokens int64) int64 {
+func (m *Manager) Lend(ctx context.Context, id TransferID, customer string, tokens int64) int64 {
 	a := m.account(customer)
+	if !m.transfers.begin(id, a, m.config.Clock.Now()) {
+		return 0
+	}
 	fromLease := a.lend(tokens)
 	fromLedger := int64(0)
 	if fromLease < tokens && !m.storeUnavailable(m.config.Clock.Now()) {
 		fromLedger = m.acquireForLoan(ctx, a, tokens-fromLease)
 	}
-	if lent := fromLease + fromLedger; lent > 0 {
+	lent := m.transfers.complete(id, fromLease+fromLedger)
+	if lent > 0 {
 		m.lent.Inc(lent)
 		m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": lent, "of_ledger": fromLedger, "asked": tokens}).Info("prepaid: tokens lent")
 	}
-	return fromLease + fromLedger
+	return lent
 }
 
 // Allocation is the response of a token holder to an instance of its failure domain.
@@ -45,9 +49,15 @@
 
 // Allocate passes tokens on to another instance of the failure domain: the wanted number if the lease covers it,
 // otherwise the needed number, for which it may enlarge the lease.
-func (m *Manager) Allocate(ctx context.Context, customer string, needed, wanted int64) Allocation {
-	m.allocatedAt.Store(m.config.Clock.Now().UnixNano())
-	allocation := m.allocate(ctx, m.account(customer), needed, wanted)
+func (m *Manager) Allocate(ctx context.Context, id TransferID, customer string, needed, wanted int64) Allocation {
+	now := m.config.Clock.Now()
+	m.allocatedAt.Store(now.UnixNano())
+	a := m.account(customer)
+	if !m.transfers.begin(id, a, now) {
+		return Allocation{}
+	}
+	allocation := m.allocate(ctx, a, needed, wanted)
+	allocation.Tokens = m.transfers.complete(id, allocation.Tokens)
 	if allocation.Tokens == 0 {
 		m.config.Log.WithFields(log.Fields{"customer": customer, "needed": needed, "exhausted": allocation.Exhausted, "away": allocation.StoreUnavailable}).
 			Info("prepaid: no tokens allocated to another instance")
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -86,6 +86,15 @@
 	waiting      [][]*waiter
 	// spent counts the tokens that callers spent, independently of the managers.
 	spent int64
+	// sequence numbers the requests for tokens, and lost are those whose responses did not arrive.
+	sequence uint64
+	lost     []lostTransfer
+}
+
+// lostTransfer is a request for tokens whose response did not arrive, and the index of the lender.
+type lostTransfer struct {
+	lender int
+	id     TransferID
 }
 
 const managerCount = 3
@@ -197,9 +206,29 @@
 					t.Skip("same")
 				}
 				needed := rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens")
-				allocated := m.managers[from].Allocate(canceledContext(), "alwusta", needed, 2*needed).Tokens
+				m.sequence++
+				id := TransferID{Borrower: m.managers[to].config.Incarnation, Sequence: m.sequence}
+				allocated := m.managers[from].Allocate(canceledContext(), id, "alwusta", needed, 2*needed).Tokens
 				if rapid.Bool().Draw(t, "arrives") {
 					m.managers[to].account("alwusta").addBorrowed(allocated)
+				} else {
+					m.lost = append(m.lost, lostTransfer{lender: from, id: id})
+				}
+			},
+			"abandon": func(t *rapid.T) {
+				if len(m.lost) == 0 {
+					t.Skip("no lost responses")
+				}
+				at := rapid.IntRange(0, len(m.lost)-1).Draw(t, "lost")
+				m.managers[m.lost[at].lender].Abandon(m.lost[at].id.Borrower, []uint64{m.lost[at].id.Sequence})
+			},
+			"allocate after abandon": func(t *rapid.T) {
+				from := managerIndex.Draw(t, "from")
+				m.sequence++
+				id := TransferID{Borrower: "muscat-9", Sequence: m.sequence}
+				m.managers[from].Abandon(id.Borrower, []uint64{id.Sequence})
+				if got := m.managers[from].Allocate(canceledContext(), id, "alwusta", 50, 50).Tokens; got != 0 {
+					t.Fatalf("%d tokens passed on for an abandoned request", got)
 				}
 			},
 			"loan from the ledger": func(t *rapid.T) {
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -90,6 +90,9 @@
 	// allocatedAt is when another instance of the domain last requested an allocation, in Unix nanoseconds.
 	allocatedAt atomic.Int64
 
+	// transfers are the tokens passed on to other instances.
+	transfers transferLog
+
 	mu       sync.Mutex
 	accounts map[string]*account
 
@@ -116,8 +119,8 @@
 	leasesInAdvance bool
 	statusAt        time.Time
 
-	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent, unanswered metrics.Counter
-	unspent                                                                                 metrics.Gauge
+	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent, unanswered, takenBack metrics.Counter
+	unspent                                                                                            metrics.Gauge
 }
 
 // NewManager returns a manager without leases. Run acquires them.
@@ -127,7 +130,8 @@
 		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
 		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
-		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r), unspent: descUnspent.Gauge(r),
+		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r),
+		takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
 	}
 }
 
--- a/prepaid/manager_test.go
+++ b/prepaid/manager_test.go
@@ -108,7 +108,7 @@
 			ran := make(chan error, 1)
 			go func() { ran <- lender.Run(ctx) }()
 			limit := lender.account("alwusta").demand().limit
-			got := lender.Lend(ctx, "alwusta", 200_000)
+			got := lender.Lend(ctx, TransferID{}, "alwusta", 200_000)
 			stop()
 			So(<-ran, ShouldBeNil)
 			So(got, ShouldEqual, 200_000)
@@ -124,7 +124,7 @@
 			})
 			Convey("but while the store is unavailable, it lends less than 1/lendDivisor of the budget", func() {
 				lender.storeFailedAt.Store(clock.Now().UnixNano())
-				So(lender.Lend(context.Background(), "alwusta", 1<<40), ShouldBeLessThan, prepaid/lendDivisor)
+				So(lender.Lend(context.Background(), TransferID{}, "alwusta", 1<<40), ShouldBeLessThan, prepaid/lendDivisor)
 			})
 		})
 
--- a/router/router.go
+++ b/router/router.go
@@ -108,12 +108,13 @@
 		Clock: c.Clock, Log: c.Log,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
 		Endpoints:     func() *objectstore.Listing { return r.endpointFollower.Snapshot() },
-		Lend: func(ctx context.Context, customer string, tokens int64) int64 {
-			return r.prepaid.Lend(ctx, customer, tokens)
+		Lend: func(ctx context.Context, id prepaid.TransferID, customer string, tokens int64) int64 {
+			return r.prepaid.Lend(ctx, id, customer, tokens)
 		},
-		Allocate: func(ctx context.Context, customer string, needed, wanted int64) prepaid.Allocation {
-			return r.prepaid.Allocate(ctx, customer, needed, wanted)
+		Allocate: func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation {
+			return r.prepaid.Allocate(ctx, id, customer, needed, wanted)
 		},
+		Abandon:    func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
 		Unanswered: func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
 	})
 	r.configurationFollower = follow.New(follow.Config{
@@ -212,6 +213,7 @@
 	group.Go(func() error { return r.prepaid.Run(background) })
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
 	group.Go(func() error { return r.members.Run(background) })
+	group.Go(func() error { return r.members.RunAbandoning(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
 	group.Go(func() error { return serve(r.callerServer, listeners.caller) })
 	group.Go(func() error { return serve(r.readyServer, listeners.ready) })
