Do not take conflicts on the ledger for an outage of the store

Callers saw 503 budget-unavailable while the store was fine. A request that waited 60 ms for a larger lease made the instance count the store as unavailable for 2.5 s, also when it was responding and the updates only conflicted.

Now only a call that gets no response for slowStoreDelay counts, 120 ms, since a ledger takes 80 ms to send over the slowest links.

--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -152,3 +152,62 @@
 	cancel()
 	return ctx
 }
+
+// slowStore blocks each call until the test allows it to continue.
+type slowStore struct {
+	*ledgerStore
+	calls, proceed chan struct{}
+}
+
+func (s slowStore) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	s.calls <- struct{}{}
+	<-s.proceed
+	return s.ledgerStore.Put(ctx, key, value, expected)
+}
+
+func TestConflictsAreNoOutage(t *testing.T) {
+	Convey("Given a token holder with a request that waits for an update of the ledger", t, func() {
+		clock := clockwork.NewFakeClock()
+		store := slowStore{ledgerStore: &ledgerStore{value: []byte("{}"), version: 1}, calls: make(chan struct{}), proceed: make(chan struct{})}
+		prepaid := int64(1_000_000)
+		m := newTestManager(store, "muscat-1", clock, &prepaid, 1)
+		m.config.Borrow = func(context.Context, string, int64) int64 { return 0 }
+		reserved := make(chan Outcome, 1)
+		updated := make(chan struct{})
+		wait := func() {
+			go func() {
+				_, outcome := m.Reserve(t.Context(), "alwusta", 700_000)
+				reserved <- outcome
+			}()
+			So(clock.BlockUntilContext(t.Context(), 2), ShouldBeNil)
+			go func() {
+				m.resizeLeases(t.Context())
+				close(updated)
+			}()
+			<-store.calls
+		}
+
+		Convey("the store stays available while updates conflict and are repeated", func() {
+			wait()
+			for range 3 {
+				store.version++
+				clock.Advance(slowStoreDelay / 2)
+				store.proceed <- struct{}{}
+				<-store.calls
+			}
+			So(m.storeUnavailable(clock.Now()), ShouldBeFalse)
+			store.proceed <- struct{}{}
+			So(<-reserved, ShouldEqual, Granted)
+			<-updated
+		})
+		Convey("the store counts as unavailable while one call gets no response", func() {
+			wait()
+			clock.Advance(slowStoreDelay)
+			So(<-m.borrowSignal, ShouldResemble, struct{}{})
+			So(m.storeUnavailable(clock.Now()), ShouldBeTrue)
+			store.proceed <- struct{}{}
+			So(<-reserved, ShouldEqual, Granted)
+			<-updated
+		})
+	})
+}
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -24,9 +24,9 @@
 	// minUpdateInterval is the minimum time between two updates of the ledger that are not urgent. It limits the number of
 	// store calls.
 	minUpdateInterval = 1500 * time.Millisecond
-	// slowStoreDelay is how long a request waits for the store before tokens are requested from other instances: several
-	// round trips to the store.
-	slowStoreDelay = 60 * time.Millisecond
+	// slowStoreDelay is how long one call to the store may take before tokens are requested from other instances: several
+	// round trips to the store, and the time to send the ledger over a slow link.
+	slowStoreDelay = 120 * time.Millisecond
 	// maxExhaustedAge is how old the ledger that was last read may be to refuse a request as exhausted without a new read.
 	maxExhaustedAge = 400 * time.Millisecond
 	// maxConflicts bounds the attempts of one update of the ledger that conflict with updates of other instances.
@@ -87,6 +87,8 @@
 	borrowSignal chan struct{}
 	// storeFailedAt is when the store last failed or was slow, in Unix nanoseconds; zero if the last call succeeded.
 	storeFailedAt atomic.Int64
+	// callStartedAt is when the call to the store in progress started, in Unix nanoseconds; zero if there is none.
+	callStartedAt atomic.Int64
 	// allocatedAt is when another instance of the domain last requested an allocation, in Unix nanoseconds.
 	allocatedAt atomic.Int64
 
@@ -218,15 +220,16 @@
 	if m.storeUnavailable(now) {
 		notify(m.borrowSignal)
 	}
-	slowStore := m.config.Clock.After(slowStoreDelay)
+	slowStore := m.config.Clock.NewTicker(slowStoreDelay)
+	defer slowStore.Stop()
 	timeout := m.config.Clock.After(maxLeaseWait)
 	for waiting := true; waiting; {
 		select {
 		case o := <-w.done:
 			return o
-		case <-slowStore:
-			if m.config.Borrow != nil {
-				m.storeFailedAt.Store(m.config.Clock.Now().UnixNano())
+		case <-slowStore.Chan():
+			if m.config.Borrow != nil && m.storeCallSlow(m.config.Clock.Now()) {
+				m.recordSlowStore()
 				notify(m.borrowSignal)
 			}
 		case <-timeout:
@@ -287,6 +290,28 @@
 	return failedAt != 0 && now.UnixNano()-failedAt < int64(outageWindow)
 }
 
+// storeCallSlow reports whether a call to the store has taken slowStoreDelay without a response. An update of the ledger
+// that is repeated after conflicts is not slow: the store responds.
+func (m *Manager) storeCallSlow(now time.Time) bool {
+	startedAt := m.callStartedAt.Load()
+	return startedAt != 0 && now.UnixNano()-startedAt >= int64(slowStoreDelay)
+}
+
+// recordSlowStore records that the store counts as unavailable because a call takes too long.
+func (m *Manager) recordSlowStore() {
+	now := m.config.Clock.Now()
+	if !m.storeUnavailable(now) {
+		m.config.Log.Info("prepaid: store is slow, requesting tokens from other instances")
+	}
+	m.storeFailedAt.Store(now.UnixNano())
+}
+
+// startCall records that a call to the store starts. The returned function records its end.
+func (m *Manager) startCall() func() {
+	m.callStartedAt.Store(m.config.Clock.Now().UnixNano())
+	return func() { m.callStartedAt.Store(0) }
+}
+
 // notify signals the receiver of a channel. It does not block if a signal is already pending.
 func notify(signal chan struct{}) {
 	select {
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -173,7 +173,9 @@
 
 // readLedger reads the ledger from the store without changing the accounts.
 func (m *Manager) readLedger(ctx context.Context) error {
+	ended := m.startCall()
 	obj, err := m.config.Store.Get(ctx, LedgerKey)
+	ended()
 	if errors.Is(err, objectstore.ErrNotFound) {
 		m.setLedger(newLedger(), 0)
 		return nil
@@ -208,7 +210,9 @@
 	if err != nil {
 		return err
 	}
+	ended := m.startCall()
 	version, err := m.config.Store.Put(ctx, LedgerKey, value, m.version)
+	ended()
 	var conflict *objectstore.ConflictError
 	switch {
 	case err == nil:
