Request tokens ahead by an instance's own use only

The rate by which an instance requests tokens ahead counted the tokens that it had passed on as well.

An account now keeps both rates: what leaves it sizes its lease, what its own requests use sizes its requests to others. The test failed with the former rate (Expected: 100000, Actual: 109000).

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -44,6 +44,11 @@
 	// ratePerSecond is the moving average of tokens used per second. rateBaseline is the value of used at its last update.
 	ratePerSecond float64
 	rateBaseline  int64
+	// passedOn is the part of used that was passed on to other instances. ownRatePerSecond is the moving average of the tokens
+	// that this instance's requests use per second, and ownRateBaseline the value of used without passedOn at its last update.
+	passedOn         int64
+	ownRatePerSecond float64
+	ownRateBaseline  int64
 }
 
 // waiter is a reservation that waits for a larger lease.
@@ -59,6 +64,24 @@
 	return a.waiters.Len() == 0 && a.reserveLocked(tokens)
 }
 
+// reserveToPassOn is reserve for another instance.
+func (a *account) reserveToPassOn(tokens int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiters.Len() > 0 || !a.reserveLocked(tokens) {
+		return false
+	}
+	a.passedOn += tokens
+	return true
+}
+
+// recordPassedOn records that reserved tokens are passed on to another instance.
+func (a *account) recordPassedOn(tokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.passedOn += tokens
+}
+
 // reserveLocked is reserve without regard to waiters. a.mu must be held.
 func (a *account) reserveLocked(tokens int64) bool {
 	if a.used+tokens > a.limit {
@@ -82,6 +105,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.used -= tokens
+	a.passedOn -= tokens
 	a.rateBaseline = min(a.rateBaseline, a.used)
 	invariant.Check(a.used >= 0, component, "%d tokens taken back, %d used", tokens, a.used)
 	a.grantWaiters()
@@ -171,21 +195,23 @@
 	lendable := a.limit - a.used - int64(a.ratePerSecond*lendReserve.Seconds())
 	lent := min(tokens, max(lendable, 0)/2)
 	a.used += lent
+	a.passedOn += lent
 	a.rateBaseline += lent
 	return lent
 }
 
-// expectedUse returns how many tokens are used in a span of time at the current rate.
-func (a *account) expectedUse(span time.Duration) int64 {
+// expectedOwnUse returns how many tokens this instance's requests use in a span of time at the current rate.
+func (a *account) expectedOwnUse(span time.Duration) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int64(a.ratePerSecond * span.Seconds())
+	return int64(a.ownRatePerSecond * span.Seconds())
 }
 
-// excludeFromRate leaves tokens that were acquired for another instance out of this instance's rate.
-func (a *account) excludeFromRate(tokens int64) {
+// excludeFromRates leaves tokens that were acquired for a loan to another instance out of this instance's rates.
+func (a *account) excludeFromRates(tokens int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.passedOn += tokens
 	a.rateBaseline += tokens
 }
 
@@ -238,16 +264,20 @@
 	return d
 }
 
-// updateRate updates ratePerSecond with the tokens used in the time elapsed since the last call.
-func (a *account) updateRate(elapsed time.Duration) {
+// updateRates updates the rates with the tokens used in the time elapsed since the last call.
+func (a *account) updateRates(elapsed time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if elapsed <= 0 {
 		return
 	}
-	rate := max(float64(a.used-a.rateBaseline), 0) / elapsed.Seconds()
-	a.ratePerSecond += rateWeight * (rate - a.ratePerSecond)
-	a.rateBaseline = a.used
+	average := func(previous float64, tokens int64) float64 {
+		return previous + rateWeight*(max(float64(tokens), 0)/elapsed.Seconds()-previous)
+	}
+	own := a.used - a.passedOn
+	a.ratePerSecond = average(a.ratePerSecond, a.used-a.rateBaseline)
+	a.ownRatePerSecond = average(a.ownRatePerSecond, own-a.ownRateBaseline)
+	a.rateBaseline, a.ownRateBaseline = a.used, own
 }
 
 // reservable returns the most that a request of this instance can reserve: the available part of the lease plus the
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -112,6 +112,7 @@
 	}
 	switch f.waitForLease(m, needed) {
 	case Granted:
+		m.account(customer).recordPassedOn(needed)
 		return Allocation{Tokens: m.transfers.complete(id, needed)}
 	case Exhausted:
 		return Allocation{Exhausted: true}
--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -111,6 +111,24 @@
 			So(others[0].account("alwusta").demand().limit, ShouldEqual, 700)
 		})
 
+		Convey("tokens that an instance passes on do not count as its own use when it requests an allocation", func() {
+			others[1].config.IsTokenHolder = func() bool { return true }
+			others[1].resizeLeases(ctx)
+			others[1].updateRates()
+			So(others[1].Allocate(ctx, TransferID{}, "alwusta", 10_000, 10_000).Tokens, ShouldEqual, 10_000)
+			clock.Advance(tickInterval)
+			others[1].updateRates()
+			others[1].config.IsTokenHolder = func() bool { return false }
+			clock.Advance(allocationWindow + time.Second)
+			requested := int64(0)
+			others[1].config.RequestAllocation = func(_ context.Context, _ string, _, wanted int64) Allocation {
+				requested = wanted
+				return Allocation{Exhausted: true}
+			}
+			_, outcome := others[1].Reserve(ctx, "alwusta", 100_000)
+			So(outcome, ShouldEqual, Exhausted)
+			So(requested, ShouldEqual, 100_000)
+		})
 		Convey("an instance that allocates to others leases tokens in advance until allocationWindow after their last request", func() {
 			So(others[0].Allocate(canceledContext(), TransferID{}, "alwusta", 700, 900).Exhausted, ShouldBeFalse)
 			clock.Advance(minUpdateInterval)
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -69,9 +69,9 @@
 // allocate is Allocate without logging and metrics.
 func (m *Manager) allocate(ctx context.Context, a *account, needed, wanted int64) Allocation {
 	switch {
-	case a.reserve(wanted):
+	case a.reserveToPassOn(wanted):
 		return Allocation{Tokens: wanted}
-	case a.reserve(needed):
+	case a.reserveToPassOn(needed):
 		return Allocation{Tokens: needed}
 	case m.storeUnavailable(m.config.Clock.Now()):
 		notify(m.borrowSignal)
@@ -81,6 +81,7 @@
 	defer cancel()
 	switch m.reserveFromLease(ctx, a, needed) {
 	case Granted:
+		a.recordPassedOn(needed)
 		return Allocation{Tokens: needed}
 	case Exhausted:
 		return Allocation{Exhausted: true}
@@ -113,7 +114,7 @@
 	if outcome != Granted {
 		return 0
 	}
-	a.excludeFromRate(tokens)
+	a.excludeFromRates(tokens)
 	return tokens
 }
 
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -178,7 +178,7 @@
 		return Granted
 	}
 	if !m.actsAsTokenHolder() {
-		allocation := m.config.RequestAllocation(ctx, customer, tokens, tokens+a.expectedUse(allocateAhead))
+		allocation := m.config.RequestAllocation(ctx, customer, tokens, tokens+a.expectedOwnUse(allocateAhead))
 		switch {
 		case allocation.Exhausted:
 			return Exhausted
@@ -347,7 +347,7 @@
 func (m *Manager) updateRates() {
 	now := m.config.Clock.Now()
 	for _, a := range m.snapshotAccounts() {
-		a.updateRate(now.Sub(m.ratesUpdatedAt))
+		a.updateRates(now.Sub(m.ratesUpdatedAt))
 	}
 	m.ratesUpdatedAt = now
 }
