Do not write the ledger at the start of each instance

Closing frees no tokens: the ledger counts an open lease of a dead incarnation like a closed one.

Instances that are not the token holder of their domain now close them with their next update. The new test failed before (an update of the ledger at the restart).

--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -82,6 +82,23 @@
 			})
 		})
 
+		Convey("after a restart they leave the lease of their earlier incarnation to their next update of the ledger", func() {
+			w, _ := others[0].account("alwusta").addWaiter(700)
+			others[0].resizeLeases(ctx)
+			So(<-w.done, ShouldEqual, Granted)
+			updatesBefore := ledger.version
+			restarted := newTestManager(ledger, "muscat-2", clock, &prepaid, 1)
+			restarted.config.IsTokenHolder = func() bool { return false }
+			restarted.resizeLeases(ctx)
+			So(ledger.version, ShouldEqual, updatesBefore)
+
+			w, _ = restarted.account("alwusta").addWaiter(500)
+			restarted.resizeLeases(ctx)
+			So(<-w.done, ShouldEqual, Granted)
+			l, err := decodeLedger(ledger.value)
+			So(err, ShouldBeNil)
+			So(l.message.Accounts["alwusta"].Closed, ShouldEqual, 700)
+		})
 		Convey("a request that the budget does not cover is refused as exhausted without a store call", func() {
 			others[0].config.RequestAllocation = func(context.Context, string, int64, int64) Allocation { return Allocation{Exhausted: true} }
 			_, outcome := others[0].Reserve(ctx, "alwusta", 2_000_000)
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -112,7 +112,9 @@
 	// fencePending is set from such an update until the ledger has a later version. It forces another update.
 	fencePending bool
 	// hasWritten is set by the first update of the ledger, which closes the leases of earlier incarnations.
-	hasWritten     bool
+	hasWritten bool
+	// closing are the tokens of leases of earlier incarnations that the update in progress closes, by customer.
+	closing        map[string]int64
 	ratesUpdatedAt time.Time
 	// outageLogged is set while the last logged state of the ledger is unavailable.
 	outageLogged bool
@@ -271,6 +273,7 @@
 			}
 		}
 		next := m.ledger.clone()
+		m.closing = nil
 		for name, a := range m.snapshotAccounts() {
 			if spent := a.lowerLimit(0); spent != 0 || next.hasLease(name, m.config.Incarnation) {
 				next.closeLease(name, m.config.Incarnation, spent)
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -102,12 +102,11 @@
 	next := m.ledger.clone()
 	next.message.Updates++
 	changed := m.fencePending
+	m.closing = nil
 	if !m.hasWritten {
-		for customer, tokens := range next.closePredecessors(m.config.Incarnation) {
-			changed = true
-			m.parked.Inc(tokens)
-			m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier incarnation closed")
-		}
+		m.closing = next.closePredecessors(m.config.Incarnation)
+		// Closing changes what nobody can spend, so it waits for another reason to write unless this instance writes often.
+		changed = changed || len(m.closing) > 0 && m.actsAsTokenHolder()
 	}
 	fillThreshold := refillFraction
 	if !changed && m.config.Clock.Since(m.writtenAt) < minUpdateInterval && !m.needsResize(urgentFraction) {
@@ -219,6 +218,7 @@
 		m.setLedger(next, version)
 		m.hasWritten, m.writtenAt = true, m.readAt
 		m.updates.Inc(1)
+		m.recordClosed()
 		m.updateAccounts()
 	case errors.As(err, &conflict):
 		if applyErr := m.applyObject(conflict.Current); applyErr != nil {
@@ -233,6 +233,15 @@
 	return err
 }
 
+// recordClosed logs and counts the leases of earlier incarnations that the last update closed.
+func (m *Manager) recordClosed() {
+	for customer, tokens := range m.closing {
+		m.parked.Inc(tokens)
+		m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier incarnation closed")
+	}
+	m.closing = nil
+}
+
 // updateAccounts applies the current ledger to the accounts. It is called only after a successful update or when none is
 // needed, so a limit that was lowered for an update in progress stays low.
 func (m *Manager) updateAccounts() {
