Bound the instances that stand in for a token holder

One that stands in leases for the rate that it sees, without the idle share of every customer.

TestIsolatedInstanceAsksFirstHoldersOnly failed before (7 instances asked where 3 may be).

--- a/members/lending.go
+++ b/members/lending.go
@@ -54,6 +54,10 @@
 	return true
 }
 
+// IsFirstHolder reports whether this instance is the first token holder in the order of its failure domain, so that it does
+// not stand in for another one.
+func (m *Members) IsFirstHolder() bool { return len(m.roster.Load().holdersBefore) == 0 }
+
 // TokenHolderCount returns how many instances lease tokens from the ledger, according to the last listing.
 func (m *Members) TokenHolderCount() int { return m.roster.Load().holderCount }
 
--- a/members/lending_test.go
+++ b/members/lending_test.go
@@ -167,3 +167,22 @@
 		})
 	})
 }
+
+func TestIsolatedInstanceAsksFirstHoldersOnly(t *testing.T) {
+	Convey("an instance that gets no response from any other one asks only the first ones of its domain for allocations", t, func() {
+		peers, _ := newFleet(t, "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8")
+		a := sortByHolderRank(peers, "a")
+		isolated, asked := a[len(a)-1], map[string]bool{}
+		isolated.config.Dial = func(_ context.Context, address string) (net.Conn, error) {
+			asked[address] = true
+			return nil, context.DeadlineExceeded
+		}
+		for range len(a) {
+			So(isolated.RequestAllocation(t.Context(), "alwusta", 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true})
+		}
+		So(asked, ShouldHaveLength, maxHolderCandidates)
+		So(isolated.IsTokenHolder(), ShouldBeTrue)
+		So(isolated.IsFirstHolder(), ShouldBeFalse)
+		So(a[0].IsFirstHolder(), ShouldBeTrue)
+	})
+}
--- a/members/roster.go
+++ b/members/roster.go
@@ -16,6 +16,10 @@
 // are served no better.
 const minHolderDomainSize = 6
 
+// maxHolderCandidates bounds the instances of a failure domain that may become its token holder. An instance that gets no
+// responses because it is overloaded itself must not turn all others into token holders one after the other.
+const maxHolderCandidates = 3
+
 // roster is an immutable snapshot of the list of instances, as seen by this instance.
 type roster struct {
 	// others are the other instances in the order in which they become token holders: by a hash of their names, which is
@@ -23,8 +27,8 @@
 	others []*api.FleetMember
 	// otherHolders are the addresses of the first instance of each other domain.
 	otherHolders []string
-	// holdersBefore are the addresses of the instances that precede this one as token holder of its failure domain, in
-	// order. It is empty in a small domain.
+	// holdersBefore are the addresses of the first instances, at most maxHolderCandidates, that precede this one as token
+	// holder of its failure domain, in order. It is empty in a small domain.
 	holdersBefore []string
 	// holderCount is the number of instances that lease tokens: one in each large domain, and all in small ones.
 	holderCount int
@@ -50,6 +54,7 @@
 			r.holdersBefore = append(r.holdersBefore, member.PeerAddress)
 		}
 	}
+	r.holdersBefore = r.holdersBefore[:min(len(r.holdersBefore), maxHolderCandidates)]
 	for _, n := range inDomain {
 		if n >= minHolderDomainSize {
 			n = 1
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -16,6 +16,7 @@
 	testDomainSize       = 24
 	testTick             = 50 * time.Millisecond
 	testUnresponsiveTime = time.Second
+	testHolderCandidates = 3
 	// testMaxParked is the greatest fraction of a prepaid total that may be neither spent nor available.
 	testMaxParked = 0.03
 )
@@ -61,13 +62,14 @@
 	m := newTestManager(f.store, fmt.Sprintf("muscat-%d-%d", domain, position), f.clock, &f.prepaid, testDomains)
 	f.unresponsive[m] = make(map[int]time.Time)
 	m.config.IsTokenHolder = func() bool {
-		for before := range position {
+		for before := range min(position, testHolderCandidates) {
 			if !f.skips(m, before) {
 				return false
 			}
 		}
 		return true
 	}
+	m.config.IsFirstHolder = func() bool { return position == 0 }
 	m.config.RequestAllocation = func(_ context.Context, customer string, needed, wanted int64) Allocation {
 		return f.requestAllocation(domain, position, customer, needed, wanted)
 	}
@@ -81,7 +83,7 @@
 // requestAllocation asks up to two instances that precede the requesting one, as package members does.
 func (f *testFleet) requestAllocation(domain, position int, customer string, needed, wanted int64) Allocation {
 	m, asked := f.domains[domain][position], 0
-	for before := range position {
+	for before := range min(position, testHolderCandidates) {
 		if asked == 2 {
 			break
 		}
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -73,6 +73,9 @@
 	// IsTokenHolder reports whether this instance is the token holder of its failure domain, or leases only for itself in
 	// a small domain. It is nil if each instance leases its own tokens.
 	IsTokenHolder func() bool
+	// IsFirstHolder reports whether this instance is the regular token holder and does not stand in for another one. If it is
+	// nil, so is every token holder.
+	IsFirstHolder func() bool
 	// RequestAllocation requests the tokens that a request needs, up to the wanted number, from the token holder of the
 	// failure domain. The allocation has StoreUnavailable set if no token holder responds.
 	RequestAllocation func(ctx context.Context, customer string, needed, wanted int64) Allocation
--- a/prepaid/manager_test.go
+++ b/prepaid/manager_test.go
@@ -186,10 +186,11 @@
 			{"a lease of a suitable size stays unchanged", demand{limit: 20_000, used: 1_000}, 1_000_000, 0.5, 20_000},
 			{"surplus tokens are released", demand{limit: 100_000, used: 1_000}, 1_000_000, 0.5, 21_000},
 		} {
-			SoMsg(c.name, nextLimit(c.d, c.remaining, c.share, refillFraction, true), ShouldEqual, c.want)
+			SoMsg(c.name, nextLimit(c.d, c.remaining, c.share, refillFraction, aheadWithIdle), ShouldEqual, c.want)
 		}
-		So(nextLimit(demand{ratePerSecond: 1_000}, 1_000_000, 0.5, refillFraction, false), ShouldEqual, 0)
-		So(nextLimit(demand{ratePerSecond: 1_000, waiting: 700}, 1_000_000, 0.5, refillFraction, false), ShouldEqual, 700)
+		So(nextLimit(demand{}, 1_000_000, 0.5, refillFraction, aheadByRate), ShouldEqual, 0)
+		So(nextLimit(demand{ratePerSecond: 1_000}, 1_000_000, 0.5, refillFraction, aheadNone), ShouldEqual, 0)
+		So(nextLimit(demand{ratePerSecond: 1_000, waiting: 700}, 1_000_000, 0.5, refillFraction, aheadNone), ShouldEqual, 700)
 	})
 }
 
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -17,7 +17,8 @@
 	// leaseShare bounds a lease to this fraction of the instance's share of the remaining budget, so that few tokens are
 	// parked when all instances are killed at once near the end of a budget.
 	leaseShare = 0.35
-	// idleShare is the fraction that an instance leases before it has used the budget.
+	// idleShare is the fraction that a token holder leases before it has used the budget. An instance that stands in for the
+	// token holder leases for its own rate only.
 	idleShare = 0.04
 	// minLease is the size in tokens below which nothing is leased in advance. Near the end of a budget, tokens are leased
 	// for one request at a time.
@@ -32,16 +33,35 @@
 	rateWeight = 0.3
 )
 
+// aheadMode determines how much an instance leases before its requests need it.
+type aheadMode int
+
+const (
+	// aheadNone leases only what requests wait for.
+	aheadNone aheadMode = iota
+	// aheadByRate leases what lasts for leaseHorizon at the current rate.
+	aheadByRate
+	// aheadWithIdle also leases idleShare of the budgets that are little used.
+	aheadWithIdle
+)
+
+func (a aheadMode) idleShare() float64 {
+	if a == aheadWithIdle {
+		return idleShare
+	}
+	return 0
+}
+
 // nextLimit returns the limit of an account after the next update. A lease below the fraction fillThreshold of its
 // target size is filled up, a large surplus is released, and otherwise the limit stays unchanged.
 //
 // remaining is the part of the budget that the ledger has not committed, and share is this instance's fraction of the
-// customer's traffic. If keepAhead is false, the instance leases only what its requests wait for.
-func nextLimit(d demand, remaining int64, share, fillThreshold float64, keepAhead bool) int64 {
+// customer's traffic.
+func nextLimit(d demand, remaining int64, share, fillThreshold float64, ahead aheadMode) int64 {
 	available := d.limit - d.used
 	ownShare := share * float64(remaining)
-	target := int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), idleShare*ownShare), leaseShare*ownShare))
-	if target < minLease || !keepAhead {
+	target := int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), ahead.idleShare()*ownShare), leaseShare*ownShare))
+	if target < minLease || ahead == aheadNone {
 		target = 0
 	}
 	wanted := d.waiting + target
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -142,13 +142,25 @@
 	if !limited || d.limit != d.borrowed && !m.ledger.hasLease(customer, m.config.Incarnation) {
 		return d, 0, false
 	}
-	keepAhead := m.actsAsTokenHolder()
-	if !keepAhead && d.waiting == 0 && m.ledger.lease(customer, m.config.Incarnation) <= 0 {
+	ahead := m.aheadMode()
+	if ahead == aheadNone && d.waiting == 0 && m.ledger.lease(customer, m.config.Incarnation) <= 0 {
 		return d, d.limit, true
 	}
 	committed := m.ledger.committed(customer)
 	share := trafficShare(d.limit, committed, m.config.TokenHolderCount())
-	return d, nextLimit(d, max(prepaid-committed, 0), share, fillThreshold, keepAhead), true
+	return d, nextLimit(d, max(prepaid-committed, 0), share, fillThreshold, ahead), true
+}
+
+// aheadMode returns how much this instance leases in advance.
+func (m *Manager) aheadMode() aheadMode {
+	switch {
+	case !m.actsAsTokenHolder():
+		return aheadNone
+	case m.config.IsFirstHolder == nil || m.config.IsFirstHolder():
+		return aheadWithIdle
+	default:
+		return aheadByRate
+	}
 }
 
 // planLease sets one lease to its next size in the ledger next, and reports whether it changed. The limit of a shrinking
--- a/router/router.go
+++ b/router/router.go
@@ -127,7 +127,8 @@
 	})
 	r.prepaid = prepaid.NewManager(prepaid.Config{
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
-		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, RequestAllocation: r.members.RequestAllocation, TokenHolderCount: r.members.TokenHolderCount,
+		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, IsFirstHolder: r.members.IsFirstHolder,
+		RequestAllocation: r.members.RequestAllocation, TokenHolderCount: r.members.TokenHolderCount,
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
