--- a/members/lending.go
+++ b/members/lending.go
@@ -110,7 +110,7 @@
 // callLend sends a loan or allocation request to one instance. If it returns an error, the request is abandoned, and the
 // other instance takes back tokens that it may have passed on.
 func (m *Members) callLend(ctx context.Context, address string, request *api.LendRequest) (*api.LendReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request.Borrower, request.Sequence = string(m.config.Incarnation), m.lendSequence.Add(1)
 	conn := m.pool.Get(ctx, address, m.dialPeer)
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -10,7 +10,7 @@
 const (
 	// lendTimeout bounds the time to acquire tokens from the ledger for another instance, whose client waits. It covers
 	// some round trips to the store, and is shorter than the other instance's timeout for this call.
-	lendTimeout = 100 * time.Millisecond
+	lendTimeout = 200 * time.Millisecond
 	// lendDivisor bounds a loan from the ledger to 1/lendDivisor of the remaining tokens, so that two instances that request
 	// tokens at the same time both get some.
 	lendDivisor = 2
