--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -173,3 +173,67 @@
 		So(r.events, ShouldContain, "change config/b")
 	})
 }
+
+// silentStore does not respond until a time. Calls that begin before it fail when their time limit ends.
+type silentStore struct {
+	clock        *clockwork.FakeClock
+	respondsFrom time.Time
+	revision     objectstore.Revision
+}
+
+// silentCallGrace is what the client of the store adds to the wait time of a watch.
+const silentCallGrace = 700 * time.Millisecond
+
+func (s *silentStore) ListAll(context.Context, string) (objectstore.Listing, error) {
+	return listing(s.revision, "config/main"), nil
+}
+
+func (s *silentStore) ListAllowStale(ctx context.Context, collection string) (objectstore.Listing, error) {
+	return s.ListAll(ctx, collection)
+}
+
+// sleep waits for a span of time or until the context ends.
+func (s *silentStore) sleep(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.clock.After(span):
+	}
+}
+
+func (s *silentStore) WatchAll(ctx context.Context, _ string, after objectstore.Revision, wait time.Duration) (objectstore.Changes, error) {
+	begun := s.clock.Now()
+	if !begun.Before(s.respondsFrom) && after < s.revision {
+		_, c, err := watchResponse(s.revision, false, "config/main")()
+		return c, err
+	}
+	s.sleep(ctx, wait)
+	if begun.Before(s.respondsFrom) {
+		s.sleep(ctx, silentCallGrace)
+		return objectstore.Changes{}, objectstore.ErrUnavailable
+	}
+	return objectstore.Changes{Revision: after}, nil
+}
+
+func TestChangeAppliedSoonAfterStoreResponds(t *testing.T) {
+	Convey("a change made while the store is silent is applied within 2 s of its next response, whenever that is", t, func() {
+		const step = 50 * time.Millisecond
+		for silence := 2 * time.Second; silence < 7*time.Second; silence += 5 * step {
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := clockwork.NewFakeClock()
+			s := &silentStore{clock: clock, revision: 5}
+			f := follow.New(follow.Config{Collection: "config", Store: s, Listener: &recorder{}, Clock: clock,
+				Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}})
+			ended := make(chan error, 1)
+			go func() { ended <- f.Run(ctx) }()
+			So(clock.BlockUntilContext(ctx, 1), ShouldBeNil)
+			s.revision, s.respondsFrom = 6, clock.Now().Add(silence)
+			for f.Snapshot().Revision < 6 {
+				So(clock.Since(s.respondsFrom), ShouldBeLessThan, 2*time.Second)
+				clock.Advance(step)
+				So(clock.BlockUntilContext(ctx, 1), ShouldBeNil)
+			}
+			cancel()
+			So(<-ended, ShouldBeNil)
+		}
+	})
+}
