Wait before listing again after an older listing

Such a listing now counts as a failed call, with its line and backoff. Found by reading (suspicion in the list of open faults), on the way of a configuration. The new test failed before.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -37,6 +38,9 @@
 	peerQueryInterval = 300 * time.Millisecond
 )
 
+// errOlderListing is returned for a listing of the store that is older than the snapshot, which has what the listing lacks.
+var errOlderListing = errors.New("follow: listing of the store is older than the snapshot")
+
 // Listener receives the updates of a Follower. Its methods are called from one goroutine.
 type Listener interface {
 	// Replace replaces everything applied before with a listing of the whole collection.
@@ -113,9 +117,11 @@
 		if err != nil {
 			return err
 		}
+		if !f.replace(l, "store") {
+			return fmt.Errorf("%w: revision %d of %s, known is %d", errOlderListing, l.Revision, f.config.Collection, f.snapshot.Load().Revision)
+		}
 		f.recordAvailable()
 		f.canWatch = true
-		f.replace(l, "store")
 		return nil
 	}
 	f.waitBatchInterval(ctx)
@@ -155,17 +161,18 @@
 	}
 }
 
-// replace replaces the snapshot with a listing unless the listing is older.
-func (f *Follower) replace(l objectstore.Listing, source string) {
+// replace replaces the snapshot with a listing. It returns false if the listing is older.
+func (f *Follower) replace(l objectstore.Listing, source string) bool {
 	current := f.snapshot.Load()
 	fields := log.Fields{"collection": f.config.Collection, "revision": uint64(l.Revision), "objects": len(l.Objects), "source": source}
 	if current != nil && l.Revision < current.Revision {
 		f.config.Log.WithFields(fields).WithField("known", uint64(current.Revision)).Warn("follow: ignored listing older than snapshot")
-		return
+		return false
 	}
 	f.config.Log.WithFields(fields).Info("follow: snapshot replaced by listing")
 	f.snapshot.Store(&l)
 	f.config.Listener.Replace(l)
+	return true
 }
 
 // applyChanges applies the events of a watch to the snapshot and passes them to the listener.
@@ -206,8 +213,7 @@
 	if current := f.snapshot.Load(); current != nil {
 		after = current.Revision
 	}
-	if l, ok := f.config.QueryPeers(ctx, after); ok && l.Revision > after {
-		f.replace(l, "instance")
+	if l, ok := f.config.QueryPeers(ctx, after); ok && l.Revision > after && f.replace(l, "instance") {
 		f.canWatch = true
 	}
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -143,6 +143,12 @@
 		_, s, _ := runFollower(nil, listResponse(listing(5)), errorResponse(objectstore.ErrRevisionExpired), listResponse(listing(9, "config/a")))
 		So(s.calls[:3], ShouldResemble, []string{"list", "watch", "list"})
 	})
+	Convey("it waits before it asks again a store that has an older listing only", t, func() {
+		f, s, r := runFollower(nil, listResponse(listing(9)), errorResponse(objectstore.ErrRevisionExpired), listResponse(listing(4)), listResponse(listing(10, "config/b")))
+		So(s.calls[:5], ShouldResemble, []string{"list", "watch", "list", "list", "watch"})
+		So(r.events[:3], ShouldResemble, []string{"replace", "unavailable", "replace"})
+		So(f.Snapshot().Revision, ShouldEqual, objectstore.Revision(10))
+	})
 	Convey("it resumes the watch after a failure, and the snapshot's revision never decreases", t, func() {
 		f, s, r := runFollower(nil, listResponse(listing(9, "config/a")), errorResponse(objectstore.ErrUnavailable), watchResponse(7, false), errorResponse(objectstore.ErrRevisionExpired), listResponse(listing(4)))
 		So(s.calls[:5], ShouldResemble, []string{"list", "watch", "watch", "watch", "list"})
