Give TestRouter one clock and ports of its own

TestRouter hung in 13 of 400 plays beside other work: the first instance of a leaf waited for its batch interval on a fake clock that nobody advanced.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -180,15 +181,23 @@
 	ended    chan error
 }
 
+// freeAddress returns an address that nothing listens on. Its loopback IP address is that of this process alone, so that
+// another process can't take the port before it is used.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	So(err, ShouldBeNil)
 	defer l.Close()
 	return l.Addr().String()
 }
 
-func startRouter(store *memoryStore, name string, seeds ...string) *fixture {
-	f := &fixture{store: store, clock: clockwork.NewFakeClock(), ended: make(chan error, 1)}
+func startRouter(store *memoryStore, name string) *fixture {
+	return startRouterWithClock(store, clockwork.NewFakeClock(), name)
+}
+
+// startRouterWithClock starts a router whose fake clock others may share.
+func startRouterWithClock(store *memoryStore, clock *clockwork.FakeClock, name string, seeds ...string) *fixture {
+	f := &fixture{store: store, clock: clock, ended: make(chan error, 1)}
 	text, err := json.Marshal(map[string]any{
 		"name": name, "domain": "hall-a", "callerAddress": freeAddress(), "readyAddress": freeAddress(), "peerAddress": freeAddress(),
 		"storeAddress": "127.0.0.1:1", "seedPeers": seeds, "grace": "8s",
@@ -353,7 +362,7 @@
 			// The first instance's store holds the configuration. The second instance's store returns ErrUnavailable.
 			unreachable := newMemoryStore()
 			unreachable.setUnavailable(true)
-			second := startRouter(unreachable, "muscat-2", f.settings.PeerAddress)
+			second := startRouterWithClock(unreachable, f.clock, "muscat-2", f.settings.PeerAddress)
 			second.advanceUntil(second.isReady)
 			c := second.connect()
 			c.send("x", "key")
