--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -60,11 +60,11 @@
 	}()
 	debug.SetMemoryLimit(int64(s.MemoryMb * memoryLimitFraction * (1 << 20)))
 
+	clock := clockwork.NewRealClock()
 	dialer := gateway.NewDialer()
 	objects := platform.NewObjectStore(s.StoreAddress, &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
-	}}, storeCallTimeout)
-	clock := clockwork.NewRealClock()
+	}}, clock, storeCallTimeout)
 	store := objectstore.NewClient(objectstore.ClientConfig{
 		Settings: &api.PlatformSettings{CallsPerSecond: storeCallsPerSecond}, Clock: clock, Metrics: registry,
 		Store: objects, Collections: objects,
