--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// storeCallTimeout bounds a call to the platform's object store. Calls take milliseconds, or 250 ms if the store is
+	// storeCallTimeout bounds the time to the response of the platform's object store. Calls take milliseconds, or 250 ms if the store is
 	// slow.
 	storeCallTimeout = time.Second
 	// maxIdleStoreConnections covers two watches, ledger access and the list of instances.
@@ -60,11 +60,11 @@
 	}()
 	debug.SetMemoryLimit(int64(s.MemoryMb * memoryLimitFraction * (1 << 20)))
 
+	clock := clockwork.NewRealClock()
 	dialer := gateway.NewDialer()
 	objects := platform.NewObjectStore(s.StoreAddress, &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
-	}}, storeCallTimeout)
-	clock := clockwork.NewRealClock()
+	}}, clock, storeCallTimeout)
 	store := objectstore.NewClient(objectstore.ClientConfig{
 		Settings: &api.PlatformSettings{CallsPerSecond: storeCallsPerSecond}, Clock: clock, Metrics: registry,
 		Store: objects, Collections: objects,
