--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -44,6 +44,8 @@
 	// ratePerSecond is the moving average of tokens used per second. rateBaseline is the value of used at its last update.
 	ratePerSecond float64
 	rateBaseline  int64
+	// longRatePerSecond is the same average over a longer time.
+	longRatePerSecond float64
 	// passedOn is the part of used that was passed on to other instances. ownRatePerSecond is the moving average of the tokens
 	// that this instance's requests use per second, and ownRateBaseline the value of used without passedOn at its last update.
 	passedOn         int64
@@ -64,15 +66,18 @@
 	return a.waiters.Len() == 0 && a.reserveLocked(tokens)
 }
 
-// reserveToPassOn is reserve for another instance.
-func (a *account) reserveToPassOn(tokens int64) bool {
+// reserveToPassOn reserves the needed tokens for another instance and, up to the wanted number, a small part of what is then
+// available. It returns false if the lease does not cover the needed tokens.
+func (a *account) reserveToPassOn(needed, wanted int64) (int64, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.waiters.Len() > 0 || !a.reserveLocked(tokens) {
-		return false
+	if a.waiters.Len() > 0 || !a.reserveLocked(needed) {
+		return 0, false
 	}
-	a.passedOn += tokens
-	return true
+	ahead := min(max(wanted-needed, 0), (a.limit-a.used)/aheadDivisor)
+	a.used += ahead
+	a.passedOn += needed + ahead
+	return needed + ahead, true
 }
 
 // recordPassedOn records that reserved tokens are passed on to another instance.
@@ -200,11 +205,16 @@
 	return lent
 }
 
-// expectedOwnUse returns how many tokens this instance's requests use in a span of time at the current rate.
-func (a *account) expectedOwnUse(span time.Duration) int64 {
+// allocationAhead returns how many tokens to request beyond those that a request needs: what is used within allocateAhead,
+// unless that is only a few requests of this size, of which the average rate says little.
+func (a *account) allocationAhead(needed int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int64(a.ownRatePerSecond * span.Seconds())
+	ahead := int64(a.ownRatePerSecond * allocateAhead.Seconds())
+	if ahead < sporadicRequests*needed {
+		return 0
+	}
+	return ahead
 }
 
 // excludeFromRates leaves tokens that were acquired for a loan to another instance out of this instance's rates.
@@ -249,15 +259,15 @@
 type demand struct {
 	limit, used, borrowed int64
 	// waiting is the sum of the tokens that waiters need.
-	waiting       int64
-	ratePerSecond float64
+	waiting                          int64
+	ratePerSecond, longRatePerSecond float64
 }
 
 // demand returns the current state for the next update of the ledger.
 func (a *account) demand() demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := demand{limit: a.limit, used: a.used, borrowed: a.borrowed, ratePerSecond: a.ratePerSecond}
+	d := demand{limit: a.limit, used: a.used, borrowed: a.borrowed, ratePerSecond: a.ratePerSecond, longRatePerSecond: a.longRatePerSecond}
 	for e := a.waiters.Front(); e != nil; e = e.Next() {
 		d.waiting += e.Value.(*waiter).tokens
 	}
@@ -271,12 +281,13 @@
 	if elapsed <= 0 {
 		return
 	}
-	average := func(previous float64, tokens int64) float64 {
-		return previous + rateWeight*(max(float64(tokens), 0)/elapsed.Seconds()-previous)
+	average := func(previous, weight float64, tokens int64) float64 {
+		return previous + weight*(max(float64(tokens), 0)/elapsed.Seconds()-previous)
 	}
 	own := a.used - a.passedOn
-	a.ratePerSecond = average(a.ratePerSecond, a.used-a.rateBaseline)
-	a.ownRatePerSecond = average(a.ownRatePerSecond, own-a.ownRateBaseline)
+	a.ratePerSecond = average(a.ratePerSecond, rateWeight, a.used-a.rateBaseline)
+	a.longRatePerSecond = average(a.longRatePerSecond, longRateWeight, a.used-a.rateBaseline)
+	a.ownRatePerSecond = average(a.ownRatePerSecond, longRateWeight, own-a.ownRateBaseline)
 	a.rateBaseline, a.ownRateBaseline = a.used, own
 }
 
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -47,8 +47,8 @@
 	StoreUnavailable bool
 }
 
-// Allocate passes tokens on to another instance of the failure domain: the wanted number if the lease covers it,
-// otherwise the needed number, for which it may enlarge the lease.
+// Allocate passes tokens on to another instance of the failure domain: the needed number, for which it may enlarge the
+// lease, and up to the wanted number if the lease is large.
 func (m *Manager) Allocate(ctx context.Context, id TransferID, customer string, needed, wanted int64) Allocation {
 	now := m.config.Clock.Now()
 	m.allocatedAt.Store(now.UnixNano())
@@ -68,12 +68,10 @@
 
 // allocate is Allocate without logging and metrics.
 func (m *Manager) allocate(ctx context.Context, a *account, needed, wanted int64) Allocation {
-	switch {
-	case a.reserveToPassOn(wanted):
-		return Allocation{Tokens: wanted}
-	case a.reserveToPassOn(needed):
-		return Allocation{Tokens: needed}
-	case m.storeUnavailable(m.config.Clock.Now()):
+	if tokens, ok := a.reserveToPassOn(needed, wanted); ok {
+		return Allocation{Tokens: tokens}
+	}
+	if m.storeUnavailable(m.config.Clock.Now()) {
 		notify(m.borrowSignal)
 		return Allocation{StoreUnavailable: true}
 	}
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -41,6 +41,11 @@
 	// allocateAhead is how long the tokens of one allocation should last. Those not spent are parked if the instance
 	// crashes.
 	allocateAhead = 1500 * time.Millisecond
+	// sporadicRequests is the number of requests within allocateAhead up to which an instance requests tokens one by one.
+	sporadicRequests = 2
+	// aheadDivisor bounds what an allocation adds to the needed tokens to 1/aheadDivisor of the token holder's available
+	// tokens. All instances of a domain hold such tokens, and what is left of the budget must not be spread over them.
+	aheadDivisor = 8
 	// loanRetryDelay is the time after an insufficient loan during which no other is requested.
 	loanRetryDelay = 400 * time.Millisecond
 )
@@ -183,7 +188,7 @@
 		return Granted
 	}
 	if !m.actsAsTokenHolder() {
-		allocation := m.config.RequestAllocation(ctx, customer, tokens, tokens+a.expectedOwnUse(allocateAhead))
+		allocation := m.config.RequestAllocation(ctx, customer, tokens, tokens+a.allocationAhead(tokens))
 		switch {
 		case allocation.Exhausted:
 			return Exhausted
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -17,6 +17,11 @@
 	// leaseShare bounds a lease to this fraction of the instance's share of the remaining budget, so that few tokens are
 	// parked when all instances are killed at once near the end of a budget.
 	leaseShare = 0.35
+	// recoveryHorizon is how long the rest of a budget must last at the current rate for a lease to last through an outage. If
+	// all instances crash, the budget must still serve until they have recovered. Otherwise a lease is at most crashShare of
+	// the instance's share of the prepaid total, and what a crash parks is negligible.
+	recoveryHorizon = 18 * time.Second
+	crashShare      = 0.005
 	// idleShare is the fraction that a token holder leases before it has used the budget. An instance that stands in for the
 	// token holder leases for its own rate only.
 	idleShare = 0.04
@@ -31,6 +36,9 @@
 	lendReserve = 2 * time.Second
 	// rateWeight is the weight of the newest sample in the moving average of the rate.
 	rateWeight = 0.3
+	// longRateWeight is that of the averages over a longer time: an instance's own rate, since it gets few requests of most
+	// customers, and the rate at which a budget runs out.
+	longRateWeight = 0.1
 )
 
 // aheadMode determines how much an instance leases before its requests need it.
@@ -52,15 +60,20 @@
 	return 0
 }
 
+// budget is what an instance knows of a customer's budget when it sizes its lease.
+type budget struct {
+	// prepaid is the prepaid total, and remaining the part that the ledger has not committed.
+	prepaid, remaining int64
+	// share is this instance's fraction of the customer's traffic.
+	share float64
+}
+
 // nextLimit returns the limit of an account after the next update. A lease below the fraction fillThreshold of its
 // target size is filled up, a large surplus is released, and otherwise the limit stays unchanged.
-//
-// remaining is the part of the budget that the ledger has not committed, and share is this instance's fraction of the
-// customer's traffic.
-func nextLimit(d demand, remaining int64, share, fillThreshold float64, ahead aheadMode) int64 {
+func nextLimit(d demand, b budget, fillThreshold float64, ahead aheadMode) int64 {
 	available := d.limit - d.used
-	ownShare := share * float64(remaining)
-	target := int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), ahead.idleShare()*ownShare), leaseShare*ownShare))
+	ownShare := b.share * float64(b.remaining)
+	target := b.targetSize(d, ahead)
 	if target < minLease || ahead == aheadNone {
 		target = 0
 	}
@@ -68,7 +81,7 @@
 	surplus := available - wanted
 	switch {
 	case available < d.waiting+int64(fillThreshold*float64(target)):
-		return d.limit + min(wanted-available, remaining)
+		return d.limit + min(wanted-available, b.remaining)
 	case fillThreshold > urgentFraction && float64(available) > releaseFactor*float64(wanted) && float64(surplus) > max(idleShare*ownShare, minLease/3):
 		return d.limit - surplus
 	default:
@@ -76,6 +89,15 @@
 	}
 }
 
+// targetSize returns the size of a lease that lasts through an outage of the store at the current rate, within what a crash
+// may park.
+func (b budget) targetSize(d demand, ahead aheadMode) int64 {
+	ownShare := b.share * float64(b.remaining)
+	needed := max(d.ratePerSecond, d.longRatePerSecond) * recoveryHorizon.Seconds()
+	spare := max(ownShare+float64(d.limit-d.used)-needed, crashShare*b.share*float64(b.prepaid))
+	return int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), ahead.idleShare()*ownShare), leaseShare*ownShare, spare))
+}
+
 // trafficShare estimates an instance's fraction of a customer's traffic. Load balancers spread connections unevenly, so
 // it is the fraction of the committed tokens that the instance has leased, but at least an even share.
 func trafficShare(leased, committed int64, holders int) float64 {
