Give two tests of quota control of time

TestStoreOutage moved its fake clock 50 ms for each 0.2 ms of real time that a call took, so that a request could wait out its second on a busy machine; the last leaf of TestMirror moved the clock alone while a call to the witness needed real time. Both now run in a bubble of testing/synctest: time passes in the fleet only once all calls wait for it. Setups, checks and bounds are the same; the leaf of TestMirror is a test of its own.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -46,6 +46,8 @@
 	bundles *testBundles
 	policy  Policy
 	resolve ResolveUsageFunc
+	// awaitCalls gives calls in progress the chance to continue before the clock advances.
+	awaitCalls func()
 
 	mu           sync.Mutex
 	nodes        map[string]*node
@@ -106,6 +108,7 @@
 		nodes:        make(map[string]*node),
 		disconnected: make(map[[2]string]bool),
 		changed:      make(chan struct{}),
+		awaitCalls:   func() { time.Sleep(200 * time.Microsecond) },
 	}
 	f.bundles.set(granted)
 	return f
@@ -285,10 +288,11 @@
 // await advances the clock until a call returns.
 func (f *fleet) await(done <-chan Reservation) Reservation {
 	for range 4000 {
+		f.awaitCalls()
 		select {
 		case r := <-done:
 			return r
-		case <-time.After(200 * time.Microsecond):
+		default:
 			f.step(50 * time.Millisecond)
 		}
 	}
--- a/quota/mirror_test.go
+++ b/quota/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -59,6 +60,11 @@
 
 func newMirrorFleet(t *testing.T) (*fleet, *node) {
 	f := newFleet(t, 100_000)
+	return f, f.startMirrored()
+}
+
+// startMirrored starts three instances and returns the holder, which can mirror requests at the others.
+func (f *fleet) startMirrored() *node {
 	for _, n := range []string{"a", "b", "c"} {
 		f.start("d1", n)
 	}
@@ -67,7 +73,7 @@
 	f.release(holder, "first")
 	f.awaitNoMirrors()
 	f.advance(2 * mirrorBackoff)
-	return f, holder
+	return holder
 }
 
 // reserveWithoutStepping reserves under the holder's existing lease without advancing the clock.
@@ -75,6 +81,33 @@
 	return n.Reserve(f.t.Context(), Request{RequestID: id, Budget: mainBudget, Model: "m", Bound: 100, MaxWait: time.Second}).Outcome
 }
 
+func TestMirrorRemovedWithDurableRecord(t *testing.T) {
+	Convey("when the record of a request whose entry instance is the holder is durable, the witness removes the mirror", t, func() {
+		var outcome Outcome
+		var mirrored, left int
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 100_000)
+			f.awaitCalls = synctest.Wait
+			f.resolve = func(context.Context, string, string) (budget.Tokens, budget.Tokens, bool) { return 10, 50, true }
+			holder := f.startMirrored()
+			outcome = f.reserveWithoutStepping(holder, "r")
+			mirrored = f.mirrorCount()
+			f.settle(holder, "r", 30)
+			f.advance(10 * time.Second)
+			for range 1000 {
+				f.awaitCalls()
+				if left = f.mirrorCount(); left == 0 {
+					break
+				}
+				f.advance(time.Second)
+			}
+		})
+		So(outcome, ShouldEqual, Granted)
+		So(mirrored, ShouldEqual, 1)
+		So(left, ShouldEqual, 0)
+	})
+}
+
 func TestMirror(t *testing.T) {
 	Convey("Given a request whose entry instance is the holder", t, func() {
 		f, holder := newMirrorFleet(t)
@@ -126,17 +159,6 @@
 			records, _, _ := f.charged()
 			So(records, ShouldEqual, 0)
 		})
-		Convey("when its record is durable, the witness removes the mirror", func() {
-			f.settle(holder, "r", 30)
-			f.advance(10 * time.Second)
-			for range 1000 {
-				if f.mirrorCount() == 0 {
-					break
-				}
-				f.advance(time.Second)
-			}
-			So(f.mirrorCount(), ShouldEqual, 0)
-		})
 		Convey("when the holder was only paused and charges it after the witness did, it counts once", func() {
 			f.setPaused(holder, true)
 			f.advance(2 * time.Minute)
--- a/quota/refusal_test.go
+++ b/quota/refusal_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -31,9 +32,12 @@
 	return refused
 }
 
-func TestStoreOutage(t *testing.T) {
-	run := func(p Policy, witnesses int) (refused int) {
+// runOutage runs the usual demand before and during an outage of the store, and returns the number of requests refused
+// in each part and the report after it. Time passes in the fleet only while all of its calls wait for time to pass.
+func runOutage(t *testing.T, p Policy, witnesses int) (before, during int, r BudgetReport) {
+	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4_000_000)
+		f.awaitCalls = synctest.Wait
 		f.policy = p
 		for i := range witnesses + 1 {
 			f.start("d1", fmt.Sprint("a", i))
@@ -42,12 +46,20 @@
 		if witnesses > 0 {
 			entry = f.nonHolder("d1")
 		}
-		So(f.runDemand(entry, "before", 5*time.Minute), ShouldEqual, 0)
+		before = f.runDemand(entry, "before", 5*time.Minute)
 		f.store.SetFaults(standin.Faults{Unavailable: true})
-		refused = f.runDemand(entry, "during", 10*time.Minute)
+		during = f.runDemand(entry, "during", 10*time.Minute)
 		f.store.SetFaults(standin.Faults{})
 		f.advance(30 * time.Second)
-		r := f.report()
+		r = f.report()
+	})
+	return before, during, r
+}
+
+func TestStoreOutage(t *testing.T) {
+	run := func(p Policy, witnesses int) (refused int) {
+		before, refused, r := runOutage(t, p, witnesses)
+		So(before, ShouldEqual, 0)
 		So(r.Agrees, ShouldBeTrue)
 		So(r.Recorded, ShouldEqual, budget.Tokens(500*(1800-refused)))
 		return refused
