--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// storeCallTimeout bounds the time to the response of the platform's object store. Calls take milliseconds, or 250 ms if the store is
-	// slow.
+	// storeCallTimeout bounds the time to the response of the platform's object store. Calls take milliseconds, or 250 ms
+	// if the store is slow.
 	storeCallTimeout = time.Second
 	// maxIdleStoreConnections covers two watches, ledger access and the list of instances.
 	maxIdleStoreConnections = 6
