--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -246,3 +246,25 @@
 		})
 	})
 }
+
+func TestUnusedAllocationsReturn(t *testing.T) {
+	Convey("tokens that an instance got ahead of its requests and does not use are available to others again", t, func() {
+		clock := clockwork.NewFakeClock()
+		ledger := &ledgerStore{}
+		prepaid := int64(1_000_000)
+		holder, other := newTestManager(ledger, "muscat-1", clock, &prepaid, 1), newTestManager(ledger, "muscat-2", clock, &prepaid, 1)
+		other.config.IsTokenHolder = func() bool { return false }
+		holder.resizeLeases(t.Context())
+		other.resizeLeases(t.Context())
+		other.account("alwusta").addBorrowed(holder.Allocate(t.Context(), TransferID{}, "alwusta", 5_000, 5_000).Tokens)
+		for range 60 {
+			clock.Advance(tickInterval)
+			for _, m := range []*Manager{holder, other} {
+				m.updateRates()
+				m.resizeLeases(t.Context())
+			}
+		}
+		d := other.account("alwusta").demand()
+		So(d.limit-d.used, ShouldEqual, 0)
+	})
+}
