--- a/follow/follow.go
+++ b/follow/follow.go
@@ -25,9 +25,6 @@
 	// Keep-alive detects a stalled connection within about 1 s. Otherwise this timeout plus the store client's grace detects
 	// it within 2.5 s, which is less than the 3 s after a disruption during which instances need not meet their bounds.
 	watchTimeout = 1800 * time.Millisecond
-	// probeTimeout replaces watchTimeout while the store is unavailable, so that its next response and changes known to other
-	// instances are not missed for the rest of a long call.
-	probeTimeout = 200 * time.Millisecond
 	// batchInterval is the minimum time from the end of a watch that returned changes to the next watch, so that many
 	// endpoints that start together cost few calls. It counts towards the 2 s within which an instance must apply a change.
 	batchInterval = 200 * time.Millisecond
@@ -125,11 +122,7 @@
 		return nil
 	}
 	f.waitBatchInterval(ctx)
-	timeout := watchTimeout
-	if f.storeUnavailable {
-		timeout = probeTimeout
-	}
-	c, err := f.config.Store.WatchAll(ctx, f.config.Collection, f.snapshot.Load().Revision, timeout)
+	c, err := f.config.Store.WatchAll(ctx, f.config.Collection, f.snapshot.Load().Revision, watchTimeout)
 	if errors.Is(err, objectstore.ErrRevisionExpired) {
 		f.config.Log.WithField("collection", f.config.Collection).WithField("revision", uint64(f.snapshot.Load().Revision)).
 			Warn("follow: changes since revision no longer available, listing collection again")
