Let an instance's network be replaced

Tests of a whole fleet need connections without sockets, so that they run in virtual time. router.Config takes functions to listen and to dial, and passes the second to the gateway and to members; unset, both are what they were. go test ./router ./gateway ./members passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -41,8 +42,8 @@
 	Clock   clockwork.Clock
 	Log     log.Interface
 	Metrics metrics.Registry
-	// Transport sends requests to endpoints. If nil, New creates one.
-	Transport http.RoundTripper
+	// Dial connects to endpoints. If nil, it is that of NewDialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Uniform returns a uniformly distributed random number in [0, 1).
 	Uniform func() float64
 }
@@ -50,7 +51,7 @@
 // Gateway is an http.Handler that serves the requests of callers.
 type Gateway struct {
 	config    Config
-	transport http.RoundTripper
+	transport *http.Transport
 	metrics   *gatewayMetrics
 	inflight  atomic.Int64
 	draining  atomic.Bool
@@ -58,11 +59,10 @@
 
 // New returns a Gateway for the given configuration.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, transport: c.Transport, metrics: newGatewayMetrics(c.Metrics)}
-	if g.transport == nil {
-		g.transport = newTransport()
+	if c.Dial == nil {
+		c.Dial = NewDialer().DialContext
 	}
-	return g
+	return &Gateway{config: c, transport: newTransport(c.Dial), metrics: newGatewayMetrics(c.Metrics)}
 }
 
 // InFlight returns the number of requests in progress.
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -61,11 +61,10 @@
 func (e *dialError) Unwrap() error { return e.err }
 
 // newTransport returns the transport for requests to endpoints.
-func newTransport() *http.Transport {
-	dialer := NewDialer()
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, &dialError{err: err}
 			}
--- a/router/router.go
+++ b/router/router.go
@@ -73,6 +73,9 @@
 	Clock    clockwork.Clock
 	Log      log.Interface
 	Metrics  metrics.Registry
+	// Listen and Dial open the listeners and connections of the instance. If nil, they use TCP.
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Router is one routing instance of the fleet.
@@ -95,15 +98,20 @@
 
 // New returns a Router that is not yet running.
 func New(c Config) *Router {
+	if c.Listen == nil {
+		c.Listen = (&net.ListenConfig{KeepAliveConfig: gateway.KeepAliveConfig()}).Listen
+	}
+	if c.Dial == nil {
+		c.Dial = gateway.NewDialer().DialContext
+	}
 	r := &Router{config: c, chooser: placement.New(), freezeGuard: newFreezeGuard(c.Clock)}
 	incarnation := instance.NewIncarnation(c.Settings.Name)
-	dialer := gateway.NewDialer()
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
 		Self:  &api.FleetMember{Incarnation: string(incarnation), PeerAddress: c.Settings.PeerAddress, Domain: c.Settings.Domain},
 		Seeds: c.Settings.SeedPeers,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			return c.Dial(ctx, "tcp", address)
 		},
 		Clock: c.Clock, Log: c.Log,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
@@ -134,7 +142,7 @@
 	r.gateway = gateway.New(gateway.Config{
 		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings),
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
-		AwaitFreshState: r.freezeGuard.Wait, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
+		AwaitFreshState: r.freezeGuard.Wait, Dial: c.Dial, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.callerServer = &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -238,7 +246,6 @@
 
 func (r *Router) listen() (netListeners, error) {
 	var l netListeners
-	listenConfig := net.ListenConfig{KeepAliveConfig: gateway.KeepAliveConfig()}
 	for _, target := range []struct {
 		listener *net.Listener
 		address  string
@@ -247,7 +254,7 @@
 		{&l.ready, r.config.Settings.ReadyAddress},
 		{&l.peer, r.config.Settings.PeerAddress},
 	} {
-		listener, err := listenConfig.Listen(context.Background(), "tcp", target.address)
+		listener, err := r.config.Listen(context.Background(), "tcp", target.address)
 		if err != nil {
 			return l, fmt.Errorf("router: listen on %s: %w", target.address, err)
 		}
