--- /dev/null
+++ b/router/emulated_endpoint_test.go
@@ -0,0 +1,135 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// streamEventCount and streamEventGap describe the streams of an emulatedEndpoint.
+	streamEventCount = 12
+	streamEventGap   = 60 * time.Millisecond
+	// firstEventDelay is the time to the first event on an idle endpoint; each running request adds slowdownPerRequest.
+	firstEventDelay    = 80 * time.Millisecond
+	slowdownPerRequest = 4 * time.Millisecond
+)
+
+// arrival is one request that reached an endpoint.
+type arrival struct {
+	at       time.Time
+	instance string
+}
+
+// namedLimit is a limit that an endpoint named from a time on; a negative rate means none.
+type namedLimit struct {
+	from time.Time
+	rate float64
+}
+
+// emulatedEndpoint is one process of a model service. It streams events that show its version, and names a limit of its
+// request rate while it has one.
+type emulatedEndpoint struct {
+	id, address, version string
+	started              time.Time
+	process              *process
+	server               *http.Server
+
+	mu       sync.Mutex
+	running  int
+	arrivals []arrival
+	limits   []namedLimit
+	// told holds when each instance was first sent a response that names a limit.
+	told map[string]time.Time
+}
+
+// startEndpoint starts an endpoint. It is not registered yet.
+func startEndpoint(n *memoryNetwork, id, address, version string) *emulatedEndpoint {
+	e := &emulatedEndpoint{
+		id: id, address: address, version: version, started: time.Now(), process: n.newProcess(id), told: make(map[string]time.Time),
+	}
+	e.server = &http.Server{Handler: e}
+	l, err := e.process.listen(context.Background(), "", address)
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = e.server.Serve(l) }()
+	return e
+}
+
+// crash ends the endpoint and cuts off its streams.
+func (e *emulatedEndpoint) crash() {
+	e.process.kill()
+	_ = e.server.Close()
+}
+
+// entry returns the endpoint's entry in service discovery.
+func (e *emulatedEndpoint) entry(state string) string {
+	return fmt.Sprintf(`{"service":"model","address":%q,"zone":"hall-a","version":%q,"slots":128,"state":%q,"born":%d}`,
+		e.address, e.version, state, e.started.UnixMilli())
+}
+
+// nameLimit names a limit in all responses from now on. A negative rate withdraws it.
+func (e *emulatedEndpoint) nameLimit(rate float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limits = append(e.limits, namedLimit{from: time.Now(), rate: rate})
+}
+
+// ServeHTTP implements http.Handler.
+func (e *emulatedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr})
+	e.running++
+	delay := firstEventDelay + time.Duration(e.running)*slowdownPerRequest
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.running--
+	}()
+	if !pause(r.Context(), delay) {
+		return
+	}
+	e.writeHeader(w, r)
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for id := first + 1; id <= streamEventCount; id++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, e.version); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		if !pause(r.Context(), streamEventGap) {
+			return
+		}
+	}
+}
+
+// writeHeader writes the header of a stream, with the limit that is named now.
+func (e *emulatedEndpoint) writeHeader(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	h.Set("X-Server-Stamp", e.id)
+	h.Set("Content-Type", "text/event-stream")
+	e.mu.Lock()
+	if n := len(e.limits); n > 0 && e.limits[n-1].rate >= 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(e.limits[n-1].rate, 'f', -1, 64))
+		if _, ok := e.told[r.RemoteAddr]; !ok {
+			e.told[r.RemoteAddr] = time.Now()
+		}
+	}
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// pause waits and returns false if the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/router/emulated_network_test.go
@@ -0,0 +1,159 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// networkLatency is the time to establish a connection in a memoryNetwork.
+const networkLatency = time.Millisecond
+
+// memoryNetwork connects processes by pipes in memory. Its connections show the name of the process that dialed as their
+// remote address.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: make(map[string]*memoryListener)}
+}
+
+// process is one process in a memoryNetwork. Its methods are safe for concurrent use.
+type process struct {
+	network *memoryNetwork
+	name    string
+	mu      sync.Mutex
+	killed  bool
+	conns   []net.Conn
+	closers []func()
+}
+
+func (n *memoryNetwork) newProcess(name string) *process { return &process{network: n, name: name} }
+
+// kill closes all listeners and connections of the process. It can open none afterwards.
+func (p *process) kill() {
+	p.mu.Lock()
+	p.killed = true
+	conns, closers := p.conns, p.closers
+	p.conns, p.closers = nil, nil
+	p.mu.Unlock()
+	for _, c := range closers {
+		c()
+	}
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+func (p *process) isKilled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
+}
+
+// own records a connection or a listener that kill closes. It returns false if the process is killed.
+func (p *process) own(conn net.Conn, closer func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed {
+		return false
+	}
+	if conn != nil {
+		p.conns = append(p.conns, conn)
+	}
+	if closer != nil {
+		p.closers = append(p.closers, closer)
+	}
+	return true
+}
+
+// listen has the signature of net.ListenConfig.Listen.
+func (p *process) listen(_ context.Context, _, address string) (net.Listener, error) {
+	l := &memoryListener{owner: p, address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	if !p.own(nil, func() { _ = l.Close() }) {
+		return nil, fmt.Errorf("listen on %s: process %s is killed", address, p.name)
+	}
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.network.listeners[address] = l
+	return l, nil
+}
+
+// dial has the signature of net.Dialer.DialContext.
+func (p *process) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(networkLatency):
+	}
+	p.network.mu.Lock()
+	l := p.network.listeners[address]
+	p.network.mu.Unlock()
+	if l == nil || p.isKilled() {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
+	}
+	local, remote := net.Pipe()
+	accepted := &memoryConn{Conn: remote, peer: memoryAddr(p.name)}
+	if !p.own(local, nil) || !l.owner.own(remote, nil) {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
+	}
+	select {
+	case l.accepted <- accepted:
+		return local, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type memoryListener struct {
+	owner    *process
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		n := l.owner.network
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.listeners[l.address] == l {
+			delete(n.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+// memoryConn is the accepted end of a connection.
+type memoryConn struct {
+	net.Conn
+	peer memoryAddr
+}
+
+func (c *memoryConn) RemoteAddr() net.Addr { return c.peer }
+
+// memoryAddr is the address of a listener or the name of a process.
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
--- /dev/null
+++ b/router/emulator_test.go
@@ -0,0 +1,349 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"pumiceshelf/objectstore"
+	"pumiceshelf/platform"
+	"pumiceshelf/router"
+)
+
+// emulatorSeedCount is the number of emulations of each randomized test.
+var emulatorSeedCount = flag.Uint64("emulator.seeds", 2, "emulations of each size and test")
+
+// emulatorSeeds returns the number of emulations with the given number of instances. A short test plays only small ones.
+func emulatorSeeds(instances int) uint64 {
+	switch {
+	case !testing.Short():
+		return *emulatorSeedCount
+	case instances > 10:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// The metrics library starts a goroutine that never ends with its first meter. It must not belong to an emulation.
+var _ = metrics.NewMeter()
+
+const emulatedConfiguration = `{"version":1,"routes":[{"name":"plan","host":"a.example","path_prefix":"/plan/","mode":"streaming","sticky":true,
+	"resumable":true,"timeout_ms":6000,"slo_ms":500,"gap_aim_ms":250,"max_attempts":3,"service":"model"}],
+	"services":[{"name":"model","engine":{"slots":128,"kv_capacity":500000,"stride":4}}]}`
+
+// emulator runs instances, a store, endpoints of one model service and callers in one process, connected by a
+// memoryNetwork. It must run in a synctest bubble, whose virtual time it uses.
+type emulator struct {
+	random    *rand.Rand
+	network   *memoryNetwork
+	store     *memoryStore
+	callers   *process
+	client    *http.Client
+	instances []*emulatedInstance
+	mu        sync.Mutex
+	// endpoints holds all endpoint processes that ever ran, serving those that run now.
+	endpoints, serving []*emulatedEndpoint
+	streams            []*stream
+	work               sync.WaitGroup
+	lastID             int
+}
+
+// emulatedInstance is one instance, which may be started several times.
+type emulatedInstance struct {
+	name    string
+	weight  float64
+	process *process
+	started time.Time
+	cancel  context.CancelFunc
+	store   *storeAccess
+}
+
+// storeAccess is the access of one instance to the store.
+type storeAccess struct {
+	*memoryStore
+	mu  sync.Mutex
+	cut bool
+}
+
+func (s *storeAccess) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+func (s *storeAccess) check() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		return objectstore.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *storeAccess) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if err := s.check(); err != nil {
+		return objectstore.Object{}, err
+	}
+	return s.memoryStore.Get(ctx, key)
+}
+
+func (s *storeAccess) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	if err := s.check(); err != nil {
+		return 0, err
+	}
+	return s.memoryStore.Put(ctx, key, value, expected)
+}
+
+func (s *storeAccess) Delete(ctx context.Context, key string, expected objectstore.Version) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.memoryStore.Delete(ctx, key, expected)
+}
+
+func (s *storeAccess) ListAllowStale(ctx context.Context, collection string) (objectstore.Listing, error) {
+	return s.ListAll(ctx, collection)
+}
+
+func (s *storeAccess) ListAll(ctx context.Context, collection string) (objectstore.Listing, error) {
+	if err := s.check(); err != nil {
+		return objectstore.Listing{}, err
+	}
+	return s.memoryStore.ListAll(ctx, collection)
+}
+
+// WatchAll fails at the end if the store was cut off meanwhile.
+func (s *storeAccess) WatchAll(ctx context.Context, collection string, after objectstore.Revision, wait time.Duration) (objectstore.Changes, error) {
+	if err := s.check(); err != nil {
+		return objectstore.Changes{}, err
+	}
+	c, err := s.memoryStore.WatchAll(ctx, collection, after, wait)
+	if cut := s.check(); cut != nil {
+		return objectstore.Changes{}, cut
+	}
+	return c, err
+}
+
+// newEmulator starts the given number of instances and endpoints.
+func newEmulator(seed uint64, instances, endpoints int) *emulator {
+	e := &emulator{random: rand.New(rand.NewPCG(seed, 1)), network: newMemoryNetwork(), store: newMemoryStore()}
+	e.callers = e.network.newProcess("caller")
+	e.client = &http.Client{Transport: &http.Transport{DialContext: e.callers.dial, DisableKeepAlives: true, DisableCompression: true}}
+	e.store.set("config/main", emulatedConfiguration)
+	for i := range endpoints {
+		e.addEndpoint(fmt.Sprintf("i-%03d", i), fmt.Sprintf("10.1.0.%d:80", i+1), "v1")
+	}
+	for i := range instances {
+		in := &emulatedInstance{name: fmt.Sprintf("front-%03d", i), weight: 0.2 + 1.6*e.random.Float64()}
+		e.instances = append(e.instances, in)
+		e.startInstance(in)
+	}
+	return e
+}
+
+// addEndpoint starts and registers an endpoint.
+func (e *emulator) addEndpoint(id, address, version string) *emulatedEndpoint {
+	endpoint := startEndpoint(e.network, id, address, version)
+	e.mu.Lock()
+	e.endpoints, e.serving = append(e.endpoints, endpoint), append(e.serving, endpoint)
+	e.mu.Unlock()
+	e.store.set("servers/"+id, endpoint.entry("ready"))
+	return endpoint
+}
+
+// startInstance starts a process of an instance.
+func (e *emulator) startInstance(in *emulatedInstance) {
+	text, err := json.Marshal(map[string]any{
+		"name": in.name, "domain": "hall-a", "callerAddress": in.address(80), "readyAddress": in.address(81), "peerAddress": in.address(82),
+		"storeAddress": "10.9.0.1:80", "grace": "8s",
+	})
+	if err != nil {
+		panic(err)
+	}
+	settings, err := router.ParseSettings(text)
+	if err != nil {
+		panic(err)
+	}
+	p := e.network.newProcess(in.name)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.mu.Lock()
+	in.process, in.cancel, in.started, in.store = p, cancel, time.Now(), &storeAccess{memoryStore: e.store}
+	e.mu.Unlock()
+	r := router.New(router.Config{
+		Settings: settings, Store: in.store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Clock: clockwork.NewRealClock(),
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewRegistry(), Listen: p.listen, Dial: p.dial,
+	})
+	e.work.Go(func() { _ = r.Run(ctx) })
+}
+
+func (in *emulatedInstance) address(port int) string {
+	var n int
+	_, _ = fmt.Sscanf(in.name, "front-%d", &n)
+	return fmt.Sprintf("10.0.%d.1:%d", n, port)
+}
+
+// killInstance ends the process of an instance abruptly.
+func (e *emulator) killInstance(in *emulatedInstance) {
+	in.store.setCut(true)
+	in.process.kill()
+	in.cancel()
+}
+
+// stream is one request of a caller with its attempts.
+type stream struct {
+	session string
+	began   time.Time
+	// versions holds the version of each event received, in order.
+	versions []string
+	// attempts holds the attempts in order.
+	attempts []attempt
+	complete bool
+}
+
+// attempt is one try of a caller to begin a stream or to resume it.
+type attempt struct {
+	at              time.Time
+	instance        string
+	instanceStarted time.Time
+	// version is that of the stream so far, empty for a new one.
+	version string
+	// status is the status of the response, or 0 if there was none.
+	status int
+	events int
+	// peers is the number of endpoints of the stream's version that served when the attempt began.
+	peers int
+}
+
+// pickInstance returns an instance by weight.
+func (e *emulator) pickInstance() *emulatedInstance {
+	total := 0.0
+	for _, in := range e.instances {
+		total += in.weight
+	}
+	x := e.random.Float64() * total
+	for _, in := range e.instances {
+		if x -= in.weight; x < 0 {
+			return in
+		}
+	}
+	return e.instances[len(e.instances)-1]
+}
+
+// play sends the given number of requests a second for a duration. At the given times from the start it runs the steps.
+func (e *emulator) play(rate float64, duration time.Duration, steps map[time.Duration]func()) {
+	start, sessions := time.Now(), 40*len(e.instances)
+	for at, step := range steps {
+		e.work.Go(func() {
+			time.Sleep(at)
+			step()
+		})
+	}
+	for time.Since(start) < duration {
+		time.Sleep(time.Duration(e.random.ExpFloat64() / rate * float64(time.Second)))
+		s := &stream{session: fmt.Sprintf("%x", e.random.IntN(sessions)+1), began: time.Now()}
+		e.mu.Lock()
+		e.streams = append(e.streams, s)
+		first, second := e.pickInstance(), e.pickInstance()
+		e.mu.Unlock()
+		e.work.Go(func() { e.runStream(s, first, second) })
+	}
+}
+
+// runStream sends a request, and once more if its stream is cut off.
+func (e *emulator) runStream(s *stream, first, second *emulatedInstance) {
+	id := e.nextID()
+	e.sendAttempt(s, first, id, "")
+	if s.complete || len(s.versions) == 0 {
+		return
+	}
+	time.Sleep(50 * time.Millisecond)
+	e.sendAttempt(s, second, e.nextID(), id)
+}
+
+func (e *emulator) nextID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastID++
+	return fmt.Sprintf("id-%d", e.lastID)
+}
+
+// sendAttempt sends one attempt and reads its events. resumes is the ID of the attempt that brought the first event.
+func (e *emulator) sendAttempt(s *stream, in *emulatedInstance, id, resumes string) {
+	e.mu.Lock()
+	a := attempt{at: time.Now(), instance: in.name, instanceStarted: in.started}
+	if resumes != "" {
+		a.version = s.versions[0]
+		for _, endpoint := range e.serving {
+			if endpoint.version == a.version {
+				a.peers++
+			}
+		}
+	}
+	e.mu.Unlock()
+	defer func() { s.attempts = append(s.attempts, a) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+in.address(80)+"/plan/x", strings.NewReader("{}"))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "a.example"
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Deadline-Ms": "6000", "X-Token-Counts": "1600,48",
+		"X-Prefix-Hash": "c0:800," + s.session + ":600," + strings.ReplaceAll(id, "id-", "f") + ":200",
+	} {
+		req.Header.Set(name, value)
+	}
+	if resumes != "" {
+		req.Header.Set("Resumes", resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(len(s.versions)))
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	a.status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if version, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			s.versions = append(s.versions, version)
+			a.events++
+		}
+	}
+	s.complete = lines.Err() == nil && len(s.versions) == streamEventCount
+}
+
+// stop ends all processes and waits for them.
+func (e *emulator) stop() {
+	time.Sleep(10 * time.Second)
+	for _, in := range e.instances {
+		in.cancel()
+	}
+	e.work.Wait()
+	for _, endpoint := range e.serving {
+		endpoint.crash()
+	}
+	e.client.CloseIdleConnections()
+	// Idle connections to endpoints and other instances expire.
+	time.Sleep(20 * time.Second)
+}
