Divide the rate that an endpoint accepts among a few instances (LIMIT)

Cause: no instance read the limit, and none could keep it alone, since it holds for all instances together.

The new package endpointlimit holds what endpoints last named. Three instances, and one more per request per second, send to a limited endpoint, each an equal part of the rate, starting with nothing; all instances compute them by the same hash. Instances exchange what they know each second while there is anything to know, so that a withdrawal reaches those that send nothing. A limit belongs to one process. A sender's unused request goes to any session after 0.3 s. If all endpoints are limited, the request is refused at once with a time to retry.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
+	"pumiceshelf/endpointlimit"
 	"pumiceshelf/gateway"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/placement"
@@ -153,8 +154,11 @@
 	}
 	set.Replace(time.Now(), list, objectstore.Revision(1))
 	h.view.Store(set.View())
+	limits := endpointlimit.New(endpointlimit.Config{
+		Self: "front-1", Instances: func() []string { return []string{"front-1"} }, OnChange: func(endpointlimit.Change) {},
+	})
 	h.gateway = gateway.New(gateway.Config{
-		Headers: platform.Headers{}, Budgets: h.budgets, Chooser: placement.New(),
+		Headers: platform.Headers{}, Budgets: h.budgets, Chooser: placement.New(limits), Limits: limits,
 		RetryBudget: retrybudget.New(retrybudget.Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}),
 		Table:       h.table.Load, Endpoints: h.view.Load, InstanceCount: func() int { return 1 }, Domain: "hall-a",
 		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: h.logs, Level: log.InfoLevel}, Metrics: h.registry,
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,8 +63,14 @@
 		case placement.Overloaded:
 			j.logger().WithField("expected_ms", choice.EstimatedWait.Milliseconds()).Info("gateway: no engine can respond in time")
 			return j.giveUp(failure{reason: reasonOverloaded, estimatedWait: choice.EstimatedWait})
+		case placement.RateLimited:
+			return j.giveUp(j.preferErrorResponse(failure{reason: reasonRateLimited}))
 		case placement.Chosen:
 		}
+		if choice.Limited {
+			g.metrics.limited.Inc(1)
+			j.logger().WithField("endpoint", choice.Ticket.Endpoint.ID).Info("gateway: request sent within the endpoint's rate limit")
+		}
 		ticket := choice.Ticket
 		f := j.tryEndpoint(ticket)
 		if f == nil {
@@ -90,7 +96,7 @@
 	now := g.config.Clock.Now()
 	endpoints := g.config.Endpoints().Endpoints(j.service, now)
 	choice := g.config.Chooser.Pick(endpoints, j.placementRequest(), j.triedEndpoints, now)
-	if choice.Outcome == placement.NoEndpoint && last.response != nil {
+	if (choice.Outcome == placement.NoEndpoint || choice.Outcome == placement.RateLimited) && last.response != nil {
 		return g.config.Chooser.Pick(endpoints, j.placementRequest(), nil, now)
 	}
 	return choice
@@ -172,7 +178,7 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case j.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, reason: f.reason}
-	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded:
+	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded, f.reason == reasonRateLimited:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterNoCapacity + f.estimatedWait}
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterTransient}
@@ -192,6 +198,7 @@
 	var written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
 	g.metrics.attempts.Inc(1)
+	sentAt := g.config.Clock.Now()
 	resp, err := g.transport.RoundTrip(j.endpointRequest(ctx, ticket.Endpoint))
 	if err != nil && errors.Is(context.Cause(ctx), errUnresponsive) {
 		return j.unresponsiveFailure(ticket)
@@ -208,6 +215,9 @@
 	if a.meta.Load != nil {
 		ticket.RecordLoad(*a.meta.Load, g.config.Clock.Now())
 	}
+	if !a.meta.Misdirected {
+		j.recordRateLimit(a, sentAt)
+	}
 	if a.meta.NotRun {
 		return j.notRunFailure(a)
 	}
@@ -217,6 +227,19 @@
 	return j.relayBuffered(a)
 }
 
+// recordRateLimit records the limit that a response names, or that it names none.
+func (j *job) recordRateLimit(a *attempt, sentAt time.Time) {
+	limits, endpoint, now := j.gateway.config.Limits, a.ticket.Endpoint, j.gateway.config.Clock.Now()
+	switch {
+	case a.meta.RateLimit != nil:
+		limits.Named(endpoint, *a.meta.RateLimit, now)
+	case a.meta.InvalidRateLimit != "":
+		j.logger().WithFields(log.Fields{"endpoint": endpoint.ID, "limit": a.meta.InvalidRateLimit}).Warn("gateway: endpoint names an invalid rate limit")
+	default:
+		limits.NotNamed(endpoint, sentAt, now)
+	}
+}
+
 // endpointRequest builds the request to an endpoint with the caller's method, path, query and body.
 func (j *job) endpointRequest(ctx context.Context, e registry.Endpoint) *http.Request {
 	forwarded := ForwardMeta{Timeout: j.remainingTime(), EndpointID: e.ID, Priority: -1}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
+	"pumiceshelf/endpointlimit"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
 	"pumiceshelf/registry"
@@ -28,6 +29,8 @@
 	Budgets     Budgets
 	Chooser     *placement.Chooser
 	RetryBudget *retrybudget.Budget
+	// Limits records the request rates that endpoints accept.
+	Limits *endpointlimit.Limits
 	// Table returns the active routing table, or nil if no configuration has been applied yet.
 	Table func() *routing.Table
 	// Endpoints returns the endpoints that accept new requests, or nil before the first listing.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -256,6 +256,31 @@
 		So(resp.body, ShouldEqual, eventsUpTo(3))
 		So(h.requestCount(), ShouldEqual, 1)
 	})
+	Convey("refuses a request at once, with a time to retry, if all endpoints limit their rate and have no room", t, func() {
+		e := newFakeEndpoint("i-1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Server-Limit", "0.5")
+			respondWith(200, "x")(w, r)
+		})
+		h := newHarness(e)
+		Reset(h.close)
+		So(h.send("GET", "/fetch/", "", nil).status, ShouldEqual, 200)
+		resp := h.send("GET", "/fetch/", "", nil)
+		So(resp.status, ShouldEqual, 503)
+		So(resp.body, ShouldContainSubstring, "rate-limited")
+		So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(e.requestCount(), ShouldEqual, 1)
+		So(h.counterValue("gateway.ended.rate-limited"), ShouldEqual, 1)
+	})
+	Convey("ignores an invalid rate limit", t, func() {
+		e := newFakeEndpoint("i-1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Server-Limit", "few")
+			respondWith(200, "x")(w, r)
+		})
+		h := newHarness(e)
+		Reset(h.close)
+		So(h.send("GET", "/fetch/", "", nil).status, ShouldEqual, 200)
+		So(h.send("GET", "/fetch/", "", nil).status, ShouldEqual, 200)
+	})
 	Convey("limits the number of attempts", t, func() {
 		h := newHarness(newFakeEndpoint("i-1", streamEvents(99, 1)), newFakeEndpoint("i-2", streamEvents(99, 1)), newFakeEndpoint("i-3", streamEvents(99, 1)), newFakeEndpoint("i-4", streamEvents(99, 1)))
 		Reset(h.close)
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -55,6 +55,11 @@
 	Misdirected bool
 	// Load is the load report of the endpoint, or nil if there is none.
 	Load *placement.Load
+	// RateLimit is the number of requests per second that the endpoint accepts from all instances together, or nil if it
+	// names no limit.
+	RateLimit *float64
+	// InvalidRateLimit is the text of a rate limit that cannot be parsed.
+	InvalidRateLimit string
 }
 
 // HeaderCodec parses and builds the headers that are exchanged with callers and endpoints.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,6 +12,7 @@
 	descRequests          = telemetry.Describe("gateway.requests", "requests", "Requests of callers.")
 	descCompleted         = telemetry.Describe("gateway.answered", "requests", "Requests that got an endpoint's whole answer.")
 	descAttempts          = telemetry.Describe("gateway.attempts", "requests", "Requests sent to endpoints, repeats included.")
+	descLimited           = telemetry.Describe("gateway.attempts.limited", "requests", "Requests sent to endpoints that limit their request rate.")
 	descTotalLatency      = telemetry.Describe("gateway.latency.total", "nanoseconds", "Time to the end of an endpoint's whole answer.")
 	descFirstEventLatency = telemetry.Describe("gateway.latency.first_event", "nanoseconds", "Time to the first event of a stream.")
 )
@@ -20,6 +21,7 @@
 var allReasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyTruncated,
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy,
+	reasonRateLimited,
 	reasonUnreachable, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
 	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected,
 }
@@ -37,13 +39,14 @@
 
 type gatewayMetrics struct {
 	requests, completed, attempts   metrics.Counter
+	limited                         metrics.Counter
 	totalLatency, firstEventLatency metrics.Timer
 	ended, retried                  map[reason]metrics.Counter
 }
 
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
 	m := &gatewayMetrics{
-		requests: descRequests.Counter(r), completed: descCompleted.Counter(r), attempts: descAttempts.Counter(r),
+		requests: descRequests.Counter(r), completed: descCompleted.Counter(r), attempts: descAttempts.Counter(r), limited: descLimited.Counter(r),
 		totalLatency: descTotalLatency.Timer(r), firstEventLatency: descFirstEventLatency.Timer(r),
 		ended: make(map[reason]metrics.Counter), retried: make(map[reason]metrics.Counter),
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -25,6 +25,7 @@
 	reasonNoEndpoint        reason = "no-endpoint"
 	reasonOverloaded        reason = "overloaded"
 	reasonEndpointsBusy     reason = "endpoints-busy"
+	reasonRateLimited       reason = "rate-limited"
 	reasonUnreachable       reason = "unreachable"
 	reasonResponseLost      reason = "answer-lost"
 	reasonResponseMismatch  reason = "answer-of-another-request"
@@ -48,8 +49,8 @@
 	// retryAfterTransient applies to conditions that usually clear within moments, such as a missing first
 	// configuration or a failed connection.
 	retryAfterTransient = 300 * time.Millisecond
-	// retryAfterNoCapacity applies to conditions that take longer to clear: a service without usable endpoints or with
-	// overloaded engines.
+	// retryAfterNoCapacity applies to conditions that take longer to clear: a service without usable endpoints, or with
+	// endpoints that are overloaded or limit their request rate.
 	retryAfterNoCapacity = time.Second
 	// retryAfterOutage applies to requests that need the object store while it is unavailable. Outages last for
 	// seconds, and a caller that retries during one is refused again.
--- a/members/members.go
+++ b/members/members.go
@@ -1,6 +1,7 @@
 // Package members lets instances discover each other through the object store. While the store is unavailable to some of
-// them, they request newer configuration, endpoints and tokens from each other. No guarantee depends on the list of
-// members: it only provides addresses for requests and the number of instances by which limits are divided.
+// them, they request newer configuration, endpoints and tokens from each other. They also pass on the limits of endpoints.
+// No guarantee depends on the list of members: it only provides addresses for requests and the instances among which limits
+// are divided.
 package members
 
 import (
@@ -21,6 +22,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"pumiceshelf/api"
+	"pumiceshelf/endpointlimit"
 	"pumiceshelf/instance"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/prepaid"
@@ -65,6 +67,8 @@
 	Allocate func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation
 	// Abandon takes back the tokens of requests of another instance that did not receive the responses.
 	Abandon func(borrower instance.Incarnation, sequences []uint64)
+	// Limits holds the endpoint limits that this instance exchanges with others.
+	Limits *endpointlimit.Limits
 	// Unanswered is called for each loan or allocation request without a response. It may be nil.
 	Unanswered func(customer string, tokens int64)
 }
--- a/members/roster.go
+++ b/members/roster.go
@@ -32,6 +32,8 @@
 	holdersBefore []string
 	// holderCount is the number of instances that lease tokens: one in each large domain, and all in small ones.
 	holderCount int
+	// names are the names of all instances, this one included. It is nil if those of the others are not known.
+	names []string
 }
 
 func newRoster(list []*api.FleetMember, self *api.FleetMember) *roster {
@@ -54,6 +56,7 @@
 			r.holdersBefore = append(r.holdersBefore, member.PeerAddress)
 		}
 	}
+	r.names = memberNames(r.others, self)
 	r.holdersBefore = r.holdersBefore[:min(len(r.holdersBefore), maxHolderCandidates)]
 	for _, n := range inDomain {
 		if n >= minHolderDomainSize {
@@ -64,9 +67,25 @@
 	return r
 }
 
+// memberNames returns the names of all instances, or nil if one of the others is known by its address only.
+func memberNames(others []*api.FleetMember, self *api.FleetMember) []string {
+	names := []string{nameOf(self)}
+	for _, member := range others {
+		name := nameOf(member)
+		if name == "" {
+			return nil
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// nameOf returns the name of a listed instance, or "" for a seed.
+func nameOf(m *api.FleetMember) string { return instance.Incarnation(m.Incarnation).Name() }
+
 // holderRank returns the hash that orders the instances of a domain as token holders. The lowest comes first.
 func holderRank(m *api.FleetMember) uint64 {
-	return xxhash.Sum64String(instance.Incarnation(m.Incarnation).Name())
+	return xxhash.Sum64String(nameOf(m))
 }
 
 // sample returns the addresses of up to maxPeersQueried other instances, chosen at random.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,6 +87,8 @@
 	NoEndpoint
 	// Overloaded means that no endpoint is expected to return a first token in time.
 	Overloaded
+	// RateLimited means that all endpoints limit their request rate, and this instance has used its part.
+	RateLimited
 )
 
 // Choice is the result of Chooser.Pick.
@@ -95,6 +97,20 @@
 	Ticket  *Ticket
 	// EstimatedWait is how long the engine is expected to work on other prompts before it reaches this request's.
 	EstimatedWait time.Duration
+	// Limited is set if the chosen endpoint limits its request rate.
+	Limited bool
+}
+
+// Limits restricts the requests that this instance may send to endpoints that limit their request rate.
+type Limits interface {
+	// Limited reports whether the endpoint limits its rate.
+	Limited(e registry.Endpoint) bool
+	// Allows reports whether this instance may send a request to the endpoint now.
+	Allows(e registry.Endpoint, now time.Time) bool
+	// Unused reports whether it may send one to a limited endpoint, and no request has preferred that endpoint for a while.
+	Unused(e registry.Endpoint, now time.Time) bool
+	// Take records that a request is sent.
+	Take(e registry.Endpoint, now time.Time)
 }
 
 // Chooser selects endpoints from the load, failures and cached prompt parts that this instance has recorded for them.
@@ -102,11 +118,12 @@
 	mu      sync.Mutex
 	states  map[string]*endpointState
 	domains map[string]*domainState
+	limits  Limits
 }
 
 // New returns a Chooser without any recorded state.
-func New() *Chooser {
-	return &Chooser{states: make(map[string]*endpointState), domains: make(map[string]*domainState)}
+func New(l Limits) *Chooser {
+	return &Chooser{states: make(map[string]*endpointState), domains: make(map[string]*domainState), limits: l}
 }
 
 // Ticket tracks one request at the endpoint chosen for it. Its methods must be called from one goroutine.
@@ -122,33 +139,56 @@
 func (c *Chooser) Pick(endpoints []registry.Endpoint, r Request, tried map[string]bool, now time.Time) Choice {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	usable := c.usable(endpoints, tried, now)
+	usable, limited := c.usable(endpoints, tried, now)
+	if len(usable) == 0 && limited {
+		return Choice{Outcome: RateLimited}
+	}
 	if len(usable) == 0 {
 		return Choice{Outcome: NoEndpoint}
 	}
 	var s *endpointState
 	wait, inTime := time.Duration(0), true
-	if len(r.PromptParts) > 0 {
+	switch unused := c.unusedLimited(usable, now); {
+	case unused != nil:
+		s, wait = unused, unused.backlog(r.Priority, now)
+	case len(r.PromptParts) > 0:
 		s, wait, inTime = chooseByAffinity(usable, r, now)
-	} else {
+	default:
 		s = leastLoaded(usable, r.Domain, now)
 	}
 	if !inTime {
 		return Choice{Outcome: Overloaded, EstimatedWait: wait}
 	}
+	c.limits.Take(s.endpoint, now)
 	s.inflight++
 	t := &Ticket{Endpoint: s.endpoint, chooser: c, state: s, prefill: s.startPrefill(r, now)}
-	return Choice{Ticket: t, EstimatedWait: wait}
+	return Choice{Ticket: t, EstimatedWait: wait, Limited: c.limits.Limited(s.endpoint)}
+}
+
+// unusedLimited returns an endpoint whose rate limit has room for a request of this instance that no request has preferred
+// for a while, or nil. Without it, the limits of endpoints would be used little in a large fleet, where few of an
+// instance's sessions prefer a given endpoint.
+func (c *Chooser) unusedLimited(usable []*endpointState, now time.Time) *endpointState {
+	for _, s := range usable {
+		if c.limits.Unused(s.endpoint, now) {
+			return s
+		}
+	}
+	return nil
 }
 
-// usable returns the endpoints that may be chosen. Ejected endpoints and those in partitioned domains are excluded
+// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Ejected endpoints and those in partitioned domains are excluded
 // unless no other remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
-func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) []*endpointState {
+func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) (usable []*endpointState, limited bool) {
 	var healthy, reachable, all []*endpointState
 	for _, e := range endpoints {
 		if tried[e.ID] {
 			continue
 		}
+		if !c.limits.Allows(e, now) {
+			limited = true
+			continue
+		}
 		s := c.stateOf(e)
 		all = append(all, s)
 		if now.Before(s.ejectedUntil) || c.domains[e.Domain].partitioned(now) {
@@ -161,11 +201,11 @@
 	}
 	switch {
 	case len(reachable) == 0:
-		return all
+		return all, limited
 	case 2*len(healthy) >= len(reachable):
-		return healthy
+		return healthy, limited
 	default:
-		return reachable
+		return reachable, limited
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -7,10 +7,18 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/endpointlimit"
 	"pumiceshelf/placement"
 	"pumiceshelf/registry"
 )
 
+// noLimits returns limits of an instance that is alone.
+func noLimits() *endpointlimit.Limits {
+	return endpointlimit.New(endpointlimit.Config{
+		Self: "front-1", Instances: func() []string { return []string{"front-1"} }, OnChange: func(endpointlimit.Change) {},
+	})
+}
+
 func engines(n int) []registry.Endpoint {
 	var out []registry.Endpoint
 	for i := range n {
@@ -30,14 +38,14 @@
 	Convey("Given twelve engines in three domains", t, func() {
 		now := time.Unix(1000, 0)
 		all := engines(12)
-		c := placement.New()
+		c := placement.New(noLimits())
 		pick := func(r placement.Request, at time.Time) *placement.Ticket { return c.Pick(all, r, nil, at).Ticket }
 
 		Convey("all instances send the requests of a session to the same engine", func() {
 			first := pick(sessionRequest("s1"), now)
 			first.Done(placement.Served, now)
 			So(pick(sessionRequest("s1"), now).Endpoint.ID, ShouldEqual, first.Endpoint.ID)
-			So(placement.New().Pick(all, sessionRequest("s1"), nil, now).Ticket.Endpoint.ID, ShouldEqual, first.Endpoint.ID)
+			So(placement.New(noLimits()).Pick(all, sessionRequest("s1"), nil, now).Ticket.Endpoint.ID, ShouldEqual, first.Endpoint.ID)
 		})
 		Convey("one hot session does not exceed the load bound of any engine", func() {
 			r := sessionRequest("hot")
@@ -105,7 +113,7 @@
 	})
 	Convey("a plain service uses the endpoint with the lowest in-flight count and reported load, local domain first", t, func() {
 		now := time.Unix(1000, 0)
-		c := placement.New()
+		c := placement.New(noLimits())
 		endpoints := engines(3)
 		r := placement.Request{Service: "desk", Domain: "hall-1"}
 		first := c.Pick(endpoints, r, nil, now).Ticket
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -56,7 +56,7 @@
 
 func newSimulation(seed uint64, n int) *simulation {
 	s := &simulation{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), chooser: placement.New(),
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), chooser: placement.New(noLimits()),
 		engines: make(map[string]*simulatedEngine), endpoints: engines(n),
 	}
 	for _, e := range s.endpoints {
--- a/router/listeners.go
+++ b/router/listeners.go
@@ -131,6 +131,7 @@
 	view := e.set.View()
 	e.router.endpointView.Store(view)
 	e.router.chooser.Retain(e.set.Contains)
+	e.router.limits.Retain(e.set.Contains)
 }
 
 // newDebugLogger returns a logger for net/http that writes at debug level, as most of its messages report connections that
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pumiceshelf/api"
+	"pumiceshelf/endpointlimit"
 	"pumiceshelf/follow"
 	"pumiceshelf/gateway"
 	"pumiceshelf/instance"
@@ -91,6 +92,7 @@
 	prepaid               *prepaid.Manager
 	gateway               *gateway.Gateway
 	chooser               *placement.Chooser
+	limits                *endpointlimit.Limits
 	freezeGuard           *freezeGuard
 	callerServer          *http.Server
 	readyServer           *http.Server
@@ -104,7 +106,11 @@
 	if c.Dial == nil {
 		c.Dial = gateway.NewDialer().DialContext
 	}
-	r := &Router{config: c, chooser: placement.New(), freezeGuard: newFreezeGuard(c.Clock)}
+	r := &Router{config: c, freezeGuard: newFreezeGuard(c.Clock)}
+	r.limits = endpointlimit.New(endpointlimit.Config{
+		Self: c.Settings.Name, Instances: func() []string { return r.members.Names() }, OnChange: r.logLimitChange,
+	})
+	r.chooser = placement.New(r.limits)
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
@@ -113,7 +119,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return c.Dial(ctx, "tcp", address)
 		},
-		Clock: c.Clock, Log: c.Log,
+		Clock: c.Clock, Log: c.Log, Limits: r.limits,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
 		Endpoints:     func() *objectstore.Listing { return r.endpointFollower.Snapshot() },
 		Lend: func(ctx context.Context, id prepaid.TransferID, customer string, tokens int64) int64 {
@@ -140,7 +146,7 @@
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
-		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings),
+		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
 		AwaitFreshState: r.freezeGuard.Wait, Dial: c.Dial, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
@@ -158,6 +164,16 @@
 	})
 }
 
+// logLimitChange logs a change of an endpoint's rate limit.
+func (r *Router) logLimitChange(c endpointlimit.Change) {
+	fields := log.Fields{"endpoint": c.Endpoint.ID, "before_per_s": c.Before, "age_ms": c.Age.Milliseconds(), "from_instance": c.FromInstance}
+	if !c.Limited {
+		r.config.Log.WithFields(fields).Info("router: endpoint has withdrawn its rate limit")
+		return
+	}
+	r.config.Log.WithFields(fields).WithField("limit_per_s", c.Rate).Info("router: endpoint limits its request rate")
+}
+
 // prepaidTotal returns the customer's prepaid total in the active configuration, or false if it has none.
 func (r *Router) prepaidTotal(customer string) (int64, bool) {
 	t := r.table.Load()
@@ -223,6 +239,7 @@
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
+	group.Go(func() error { return r.members.RunExchangingLimits(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
 	group.Go(func() error { return serve(r.callerServer, listeners.caller) })
 	group.Go(func() error { return serve(r.readyServer, listeners.ready) })
