Resume streams only at the software version that began them (ORDER)

Cause: the registry had no software version, so that a resumption within an answer went to any endpoint of the service, and a caller's resumption, mostly at another instance, did too.

registry.Endpoint has the software version, which is part of the identity of a process. The gateway resumes within an answer only at the version of the first event. The origin of each resumable stream is kept by the instance and by one other in each of up to three failure domains, by a hash of the attempt's id; a caller's resumption asks them. If none knows, it goes on only where the service had a single version for 30 s, else it is refused at once as not run. While several versions serve, an endpoint that lost a connection within 4 s gets no resumed stream, and none is resumed on endpoints that the store has not confirmed for 2.5 s. A resumption keeps the service of its origin.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -19,6 +19,7 @@
 	"pumiceshelf/endpointlimit"
 	"pumiceshelf/gateway"
 	"pumiceshelf/objectstore"
+	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/platform"
 	"pumiceshelf/prepaid"
@@ -31,6 +32,7 @@
 type fakeEndpoint struct {
 	id       string
 	server   *httptest.Server
+	version  string
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
@@ -38,7 +40,7 @@
 }
 
 func newFakeEndpoint(id string, handle http.HandlerFunc) *fakeEndpoint {
-	e := &fakeEndpoint{id: id, handle: handle}
+	e := &fakeEndpoint{id: id, version: "v1", handle: handle}
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		e.mu.Lock()
@@ -56,7 +58,7 @@
 }
 
 func (e *fakeEndpoint) registration() registry.Endpoint {
-	return registry.Endpoint{ID: e.id, Service: "model", Address: strings.TrimPrefix(e.server.URL, "http://"), Domain: "hall-a"}
+	return registry.Endpoint{ID: e.id, Service: "model", Address: strings.TrimPrefix(e.server.URL, "http://"), Domain: "hall-a", SoftwareVersion: e.version}
 }
 
 // respondWith returns a handler that responds with the request's ID and a server stamp.
@@ -93,6 +95,15 @@
 	}
 }
 
+// eventsUpTo returns the events of streamEvents from the first to last.
+func eventsUpTo(last int) string {
+	var b strings.Builder
+	for id := 1; id <= last; id++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
 // abortConnection aborts the connection after it received the request.
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
@@ -132,6 +143,29 @@
 	return slices.Clone(l.entries)
 }
 
+// fakeOrigins keeps origins in memory.
+type fakeOrigins struct {
+	mu       sync.Mutex
+	origins  map[string]origin.Origin
+	versions []string
+	complete bool
+}
+
+func (o *fakeOrigins) RecordOrigin(began origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.origins[began.Attempt] = began
+}
+
+func (o *fakeOrigins) SearchOrigin(_ context.Context, attempt, _ string) origin.Search {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	began, found := o.origins[attempt]
+	return origin.Search{Origin: began, Found: found, Versions: o.versions, VersionsComplete: o.complete}
+}
+
+func (o *fakeOrigins) recent(string) ([]string, bool) { return o.versions, o.complete }
+
 // harness is a gateway in front of fake endpoints.
 type harness struct {
 	gateway   *gateway.Gateway
@@ -140,12 +174,15 @@
 	table     atomic.Pointer[routing.Table]
 	view      atomic.Pointer[registry.View]
 	endpoints []*fakeEndpoint
-	registry  metrics.Registry
-	logs      *logRecorder
+	origins   *fakeOrigins
+	// endpointsAge is the age of the endpoints that the gateway knows.
+	endpointsAge time.Duration
+	registry     metrics.Registry
+	logs         *logRecorder
 }
 
 func newHarness(endpoints ...*fakeEndpoint) *harness {
-	h := &harness{budgets: &fakeBudgets{}, endpoints: endpoints, registry: metrics.NewRegistry(), logs: &logRecorder{}}
+	h := &harness{budgets: &fakeBudgets{}, origins: &fakeOrigins{origins: make(map[string]origin.Origin), versions: []string{"v1"}, complete: true}, endpoints: endpoints, registry: metrics.NewRegistry(), logs: &logRecorder{}}
 	h.table.Store(routing.Compile(testConfig()))
 	set := registry.NewSet()
 	var list []registry.Endpoint
@@ -162,7 +199,8 @@
 		RetryBudget: retrybudget.New(retrybudget.Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}),
 		Table:       h.table.Load, Endpoints: h.view.Load, InstanceCount: func() int { return 1 }, Domain: "hall-a",
 		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: h.logs, Level: log.InfoLevel}, Metrics: h.registry,
-		Uniform: func() float64 { return 0 },
+		Uniform: func() float64 { return 0 }, Origins: h.origins, Versions: h.origins.recent,
+		EndpointsAge: func() time.Duration { return h.endpointsAge },
 	})
 	h.server = httptest.NewServer(h.gateway)
 	return h
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -59,7 +59,7 @@
 		choice := j.pickEndpoint(last)
 		switch choice.Outcome {
 		case placement.NoEndpoint:
-			return j.giveUp(j.preferErrorResponse(failure{reason: reasonNoEndpoint}))
+			return j.giveUp(j.preferErrorResponse(failure{reason: j.noEndpointReason()}))
 		case placement.Overloaded:
 			j.logger().WithField("expected_ms", choice.EstimatedWait.Milliseconds()).Info("gateway: no engine can respond in time")
 			return j.giveUp(failure{reason: reasonOverloaded, estimatedWait: choice.EstimatedWait})
@@ -94,7 +94,7 @@
 func (j *job) pickEndpoint(last failure) placement.Choice {
 	g := j.gateway
 	now := g.config.Clock.Now()
-	endpoints := g.config.Endpoints().Endpoints(j.service, now)
+	endpoints := j.candidates(now)
 	choice := g.config.Chooser.Pick(endpoints, j.placementRequest(), j.triedEndpoints, now)
 	if (choice.Outcome == placement.NoEndpoint || choice.Outcome == placement.RateLimited) && last.response != nil {
 		return g.config.Chooser.Pick(endpoints, j.placementRequest(), nil, now)
@@ -102,6 +102,14 @@
 	return choice
 }
 
+// noEndpointReason returns the reason for which no endpoint is left.
+func (j *job) noEndpointReason() reason {
+	if j.origin != nil {
+		return reasonVersionUnavailable
+	}
+	return reasonNoEndpoint
+}
+
 // preferErrorResponse returns the last error response of an endpoint in place of f, because it tells the caller more
 // than the absence of another endpoint. Failures that have a response themselves, timeouts and cancellations are
 // returned unchanged.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
 	"pumiceshelf/endpointlimit"
+	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
 	"pumiceshelf/registry"
@@ -23,6 +25,14 @@
 	Reserve(ctx context.Context, customer string, tokens int64) (*prepaid.Reservation, prepaid.Outcome)
 }
 
+// Origins records which software version began a stream, for all instances.
+type Origins interface {
+	// RecordOrigin records the origin of a stream. It does not block.
+	RecordOrigin(o origin.Origin)
+	// SearchOrigin searches for the origin of the stream that an attempt began.
+	SearchOrigin(ctx context.Context, attempt, service string) origin.Search
+}
+
 // Config holds the dependencies and settings of a Gateway.
 type Config struct {
 	Headers     HeaderCodec
@@ -35,6 +45,13 @@
 	Table func() *routing.Table
 	// Endpoints returns the endpoints that accept new requests, or nil before the first listing.
 	Endpoints func() *registry.View
+	// EndpointsAge returns the time since the store confirmed the endpoints.
+	EndpointsAge func() time.Duration
+	// Versions returns the software versions that the endpoints of a service had lately, and whether they cover a time that is
+	// longer than any stream.
+	Versions func(service string) (versions []string, complete bool)
+	// Origins records and finds which version began a stream.
+	Origins Origins
 	// InstanceCount returns the number of instances that share the retry budget.
 	InstanceCount func() int
 	// AwaitFreshState blocks until the state of this instance is up to date. It returns immediately unless the process
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -225,13 +225,6 @@
 }
 
 func TestStreams(t *testing.T) {
-	eventsUpTo := func(last int) string {
-		var b strings.Builder
-		for id := 1; id <= last; id++ {
-			b.WriteString("id: " + strconv.Itoa(id) + "\ndata: piece " + strconv.Itoa(id) + "\n\n")
-		}
-		return b.String()
-	}
 	Convey("resumes a stream on another endpoint within the same response, without losing, repeating or splitting an event", t, func() {
 		var requests atomic.Int32
 		handle := func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -23,6 +23,10 @@
 	Key string
 	// Timeout is how long the caller waits for the response, or zero if the request does not specify it.
 	Timeout time.Duration
+	// Resumes is the ID of the attempt that received the first event of the stream that this request resumes, and ResumeAfter
+	// the ID of the last event that the caller received. They are empty for a new stream; Resumes is also empty if the caller
+	// does not name the attempt.
+	Resumes, ResumeAfter string
 	// PromptParts are the parts of the prompt that engines cache, or empty if there are none. The last one belongs to this
 	// request alone.
 	PromptParts []placement.PromptPart
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
 	"pumiceshelf/routing"
@@ -43,6 +44,11 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
+	// origin is the service and version that began the stream, nil until the first event of a new stream.
+	// versionUncertain is set if the version may be another than is known.
+	origin           *origin.Origin
+	versionUncertain bool
+
 	reservation *prepaid.Reservation
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
@@ -71,7 +77,7 @@
 	if await := j.gateway.config.AwaitFreshState; await != nil {
 		await(j.r.Context())
 	}
-	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.reserveTokens, j.forward} {
+	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.findOrigin, j.reserveTokens, j.forward} {
 		if r := step(); r != nil {
 			j.refuse(*r)
 			return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,7 +21,7 @@
 var allReasons = []reason{
 	reasonNoConfiguration, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyTruncated,
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy,
-	reasonRateLimited,
+	reasonRateLimited, reasonOriginUnknown, reasonVersionUnavailable,
 	reasonUnreachable, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
 	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected,
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -87,6 +87,9 @@
 			a.watchdog.recordProgress()
 		}
 		j.mayHaveRun = true
+		if j.eventCount == 0 {
+			j.recordOrigin(a.ticket.Endpoint)
+		}
 		if !j.headerSent {
 			j.sendStreamHeader(a)
 		}
--- /dev/null
+++ b/gateway/resume_test.go
@@ -0,0 +1,134 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/origin"
+)
+
+// versioned returns an endpoint of a software version.
+func versioned(id, version string, handle http.HandlerFunc) *fakeEndpoint {
+	e := newFakeEndpoint(id, handle)
+	e.version = version
+	return e
+}
+
+func TestStreamGoesOnAtItsVersion(t *testing.T) {
+	Convey("Given endpoints of two versions", t, func() {
+		first, second := versioned("i-1", "v1", streamEvents(9, 0)), versioned("i-2", "v2", streamEvents(9, 0))
+		h := newHarness(first, second)
+		Reset(h.close)
+		h.origins.versions = []string{"v1", "v2"}
+		h.origins.origins["began"] = origin.Origin{Attempt: "began", Service: "model", Version: "v2"}
+		resume := map[string]string{"Resumes": "began", "Last-Event-Id": "3"}
+
+		Convey("a caller's resumption goes to the version that began the stream", func() {
+			for range 5 {
+				So(h.send("POST", "/plan/", "b", resume).body, ShouldEqual, strings.TrimPrefix(eventsUpTo(9), eventsUpTo(3)))
+			}
+			So([]int{first.requestCount(), second.requestCount()}, ShouldResemble, []int{0, 5})
+		})
+		for _, c := range []struct {
+			name, title string
+			change      func()
+		}{
+			{"of a stream whose version is not known", "origin-unknown", func() { clear(h.origins.origins) }},
+			{"whose version no endpoint serves", "version-unavailable", func() {
+				h.origins.origins["began"] = origin.Origin{Attempt: "began", Service: "model", Version: "v3"}
+			}},
+			{"whose service is no longer a target of the route", "version-unavailable", func() {
+				h.origins.origins["began"] = origin.Origin{Attempt: "began", Service: "other", Version: "v2"}
+			}},
+			{"while the known endpoints may be outdated", "version-unavailable", func() { h.endpointsAge = 3 * time.Second }},
+		} {
+			Convey("a resumption "+c.name+" is refused as not run, with a time to retry", func() {
+				c.change()
+				resp := h.send("POST", "/plan/", "b", resume)
+				So(resp.status, ShouldEqual, 503)
+				So(resp.body, ShouldContainSubstring, c.title)
+				So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
+				So(h.requestCount(), ShouldEqual, 0)
+			})
+		}
+		Convey("new streams are not affected by the age of the endpoints", func() {
+			h.endpointsAge = time.Hour
+			So(h.send("POST", "/plan/", "b", nil).body, ShouldEqual, eventsUpTo(9))
+		})
+		Convey("the version of a new stream is recorded", func() {
+			h.send("POST", "/plan/", "b", nil)
+			want := origin.Origin{Attempt: "id-1", Service: "model", Version: "v1"}
+			if second.requestCount() > 0 {
+				want.Version = "v2"
+			}
+			So(h.origins.origins["id-1"], ShouldResemble, want)
+		})
+	})
+	Convey("a resumption of a stream whose version is not known goes on if the service had only one version for long", t, func() {
+		e := versioned("i-1", "v1", streamEvents(9, 0))
+		h := newHarness(e)
+		Reset(h.close)
+		resume := map[string]string{"Resumes": "began", "Last-Event-Id": "3"}
+		So(h.send("POST", "/plan/", "b", resume).status, ShouldEqual, 200)
+		h.origins.complete = false
+		resume["Resumes"] = "other"
+		So(h.send("POST", "/plan/", "b", resume).status, ShouldEqual, 503)
+		So(e.requestCount(), ShouldEqual, 1)
+	})
+	Convey("within an answer, a stream is resumed only at the version that began it", t, func() {
+		for _, c := range []struct {
+			name      string
+			versions  []string
+			requests  int
+			truncated bool
+		}{{"another endpoint has it", []string{"v1", "v2", "v2", "v1"}, 2, false}, {"no other endpoint has it", []string{"v2", "v1", "v2"}, 1, true}} {
+			Convey("if "+c.name, func() {
+				var began atomic.Bool
+				handle := func(w http.ResponseWriter, r *http.Request) {
+					if began.Swap(true) {
+						streamEvents(9, 0)(w, r)
+					} else {
+						streamEvents(9, 3)(w, r)
+					}
+				}
+				var ofFirst, ofSecond int
+				var endpoints []*fakeEndpoint
+				for i, version := range c.versions {
+					endpoints = append(endpoints, versioned(fmt.Sprint("i-", i), version, handle))
+				}
+				h := newHarness(endpoints...)
+				Reset(h.close)
+				h.origins.versions = []string{"v1", "v2"}
+				h.origins.origins["began"] = origin.Origin{Attempt: "began", Service: "model", Version: "v1"}
+				resp := h.send("POST", "/plan/", "b", map[string]string{"Resumes": "began", "Last-Event-Id": "0"})
+				So(resp.truncated, ShouldEqual, c.truncated)
+				for i, version := range c.versions {
+					if version == "v1" {
+						ofFirst += endpoints[i].requestCount()
+					} else {
+						ofSecond += endpoints[i].requestCount()
+					}
+				}
+				So(ofFirst, ShouldEqual, c.requests)
+				So(ofSecond, ShouldEqual, 0)
+			})
+		}
+	})
+	Convey("while several versions serve, no stream is resumed at an endpoint that has just lost a connection", t, func() {
+		e := versioned("i-1", "v1", streamEvents(9, 3))
+		h := newHarness(e)
+		Reset(h.close)
+		h.origins.versions = []string{"v1", "v2"}
+		So(h.send("POST", "/plan/", "b", nil).truncated, ShouldBeTrue)
+		So(e.requestCount(), ShouldEqual, 1)
+		resp := h.send("POST", "/plan/", "b", map[string]string{"Resumes": "id-1", "Last-Event-Id": "3"})
+		So(resp.status, ShouldEqual, 503)
+		So(e.requestCount(), ShouldEqual, 1)
+	})
+}
--- a/members/limits.go
+++ b/members/limits.go
@@ -78,7 +78,7 @@
 	for _, s := range list {
 		out.Limits = append(out.Limits, &api.EndpointLimit{
 			Endpoint: s.Endpoint.ID, Service: s.Endpoint.Service, Address: s.Endpoint.Address, StartedUnixMs: s.Endpoint.StartedUnixMilli,
-			Limited: s.Limited, Rate: s.Rate, Age: durationpb.New(s.Age),
+			SoftwareVersion: s.Endpoint.SoftwareVersion, Limited: s.Limited, Rate: s.Rate, Age: durationpb.New(s.Age),
 		})
 	}
 	return out
@@ -88,8 +88,10 @@
 	var out []endpointlimit.Statement
 	for _, l := range m.GetLimits() {
 		out = append(out, endpointlimit.Statement{
-			Endpoint: registry.Endpoint{ID: l.Endpoint, Service: l.Service, Address: l.Address, StartedUnixMilli: l.StartedUnixMs},
-			Limited:  l.Limited, Rate: l.Rate, Age: l.Age.AsDuration(),
+			Endpoint: registry.Endpoint{
+				ID: l.Endpoint, Service: l.Service, Address: l.Address, StartedUnixMilli: l.StartedUnixMs, SoftwareVersion: l.SoftwareVersion,
+			},
+			Limited: l.Limited, Rate: l.Rate, Age: l.Age.AsDuration(),
 		})
 	}
 	return out
--- a/members/members.go
+++ b/members/members.go
@@ -1,6 +1,6 @@
 // Package members lets instances discover each other through the object store. While the store is unavailable to some of
-// them, they request newer configuration, endpoints and tokens from each other. They also pass on the limits of endpoints.
-// No guarantee depends on the list of members: it only provides addresses for requests and the instances among which limits
+// them, they request newer configuration, endpoints and tokens from each other. They also pass on the limits of endpoints
+// and the origins of streams. No guarantee depends on the list of members: it only provides addresses for requests and the instances among which limits
 // are divided.
 package members
 
@@ -25,6 +25,7 @@
 	"pumiceshelf/endpointlimit"
 	"pumiceshelf/instance"
 	"pumiceshelf/objectstore"
+	"pumiceshelf/origin"
 	"pumiceshelf/prepaid"
 )
 
@@ -69,6 +70,11 @@
 	Abandon func(borrower instance.Incarnation, sequences []uint64)
 	// Limits holds the endpoint limits that this instance exchanges with others.
 	Limits *endpointlimit.Limits
+	// Origins holds the origins of streams that this instance keeps, for itself and for others.
+	Origins *origin.Store
+	// Versions returns the software versions that a service had lately, and whether they cover a time that is longer than any
+	// stream.
+	Versions func(service string) (versions []string, complete bool)
 	// Unanswered is called for each loan or allocation request without a response. It may be nil.
 	Unanswered func(customer string, tokens int64)
 }
@@ -80,6 +86,7 @@
 	pool         *drpcpool.Pool[string, drpcpool.Conn]
 	unresponsive unresponsiveSet
 	unanswered   unansweredRequests
+	originQueue  chan origin.Origin
 	lendSequence atomic.Uint64
 	// hasListed is set after the first successful listing.
 	hasListed bool
@@ -89,7 +96,10 @@
 
 // New returns a list that contains only the seeds.
 func New(c Config) *Members {
-	m := &Members{config: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns})}
+	m := &Members{
+		config: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns}),
+		originQueue: make(chan origin.Origin, originQueueSize),
+	}
 	m.applyListing(nil)
 	return m
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -220,6 +220,15 @@
 	return s
 }
 
+// LostConnection reports whether this instance lost a connection to the endpoint, or could not connect to it, after the given
+// time.
+func (c *Chooser) LostConnection(e registry.Endpoint, after time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.states[e.ID]
+	return s != nil && s.endpoint.SameProcess(e) && s.lostConnectionAt.After(after)
+}
+
 // Retain deletes the state of endpoints for which known returns false.
 func (c *Chooser) Retain(known func(id string) bool) {
 	c.mu.Lock()
--- a/placement/state.go
+++ b/placement/state.go
@@ -46,6 +46,8 @@
 	busyUntil    time.Time
 	load         Load
 	loadAt       time.Time
+	// lostConnectionAt is when a connection to the endpoint last failed.
+	lostConnectionAt time.Time
 	// respondedAt is when the endpoint last responded to a request or sent a stream event.
 	respondedAt time.Time
 }
@@ -67,6 +69,9 @@
 	if r == Served || r == Errored || r == Busy {
 		s.respondedAt = now
 	}
+	if r == InvalidResponse || r == Unreachable || r == Unresponsive {
+		s.lostConnectionAt = now
+	}
 	switch r {
 	case Served:
 		s.updateFailureRate(0, now)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -33,13 +33,16 @@
 	Draining bool
 	// StartedUnixMilli is when the process started, in Unix milliseconds; zero if unknown.
 	StartedUnixMilli int64
+	// SoftwareVersion is the version of the program that the endpoint runs. A stream of one version cannot go on at another.
+	SoftwareVersion string
 	// Version is the object store's version of the entry.
 	Version objectstore.Version
 }
 
 // SameProcess reports whether both endpoints are the same process.
 func (e Endpoint) SameProcess(o Endpoint) bool {
-	return e.ID == o.ID && e.Address == o.Address && e.Service == o.Service && e.StartedUnixMilli == o.StartedUnixMilli
+	return e.ID == o.ID && e.Address == o.Address && e.Service == o.Service && e.StartedUnixMilli == o.StartedUnixMilli &&
+		e.SoftwareVersion == o.SoftwareVersion
 }
 
 // View is an immutable snapshot of the endpoints that may get new requests, by service.
--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -215,7 +215,7 @@
 // startInstance starts a process of an instance.
 func (e *emulator) startInstance(in *emulatedInstance) {
 	text, err := json.Marshal(map[string]any{
-		"name": in.name, "domain": "hall-a", "callerAddress": in.address(80), "readyAddress": in.address(81), "peerAddress": in.address(82),
+		"name": in.name, "domain": in.domain(), "callerAddress": in.address(80), "readyAddress": in.address(81), "peerAddress": in.address(82),
 		"storeAddress": "10.9.0.1:80", "grace": "8s",
 	})
 	if err != nil {
@@ -237,10 +237,18 @@
 	e.work.Go(func() { _ = r.Run(ctx) })
 }
 
-func (in *emulatedInstance) address(port int) string {
-	var n int
+// number returns the position of the instance among all.
+func (in *emulatedInstance) number() (n int) {
 	_, _ = fmt.Sscanf(in.name, "front-%d", &n)
-	return fmt.Sprintf("10.0.%d.1:%d", n, port)
+	return n
+}
+
+func (in *emulatedInstance) domain() string {
+	return []string{"hall-a", "hall-b", "hall-c"}[in.number()%3]
+}
+
+func (in *emulatedInstance) address(port int) string {
+	return fmt.Sprintf("10.0.%d.1:%d", in.number(), port)
 }
 
 // killInstance ends the process of an instance abruptly.
--- a/router/listeners.go
+++ b/router/listeners.go
@@ -94,7 +94,8 @@
 			continue
 		}
 		e.router.config.Log.WithFields(log.Fields{
-			"endpoint": id, "service": endpoint.Service, "address": endpoint.Address, "leaving": endpoint.Draining, "revision": uint64(endpoint.Version),
+			"endpoint": id, "service": endpoint.Service, "address": endpoint.Address, "leaving": endpoint.Draining,
+			"software_version": endpoint.SoftwareVersion, "revision": uint64(endpoint.Version),
 		}).Info("router: endpoint changed")
 		e.set.Put(endpoint)
 	}
@@ -116,7 +117,11 @@
 func (e *endpointListener) StoreUnavailable(error) { e.set.StoreUnavailable() }
 
 // StoreAvailable implements follow.Listener.
-func (e *endpointListener) StoreAvailable() { e.set.StoreAvailable(e.router.config.Clock.Now()) }
+func (e *endpointListener) StoreAvailable() {
+	now := e.router.config.Clock.Now()
+	e.router.endpointsConfirmedAt.Store(&now)
+	e.set.StoreAvailable(now)
+}
 
 // Tick implements follow.Listener.
 func (e *endpointListener) Tick() {
@@ -129,6 +134,7 @@
 // publish makes the current endpoints visible to requests and discards the chooser's state of unknown ones.
 func (e *endpointListener) publish() {
 	view := e.set.View()
+	e.router.versions.Update(e.router.config.Clock.Now(), e.set)
 	e.router.endpointView.Store(view)
 	e.router.chooser.Retain(e.set.Contains)
 	e.router.limits.Retain(e.set.Contains)
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 	"pumiceshelf/instance"
 	"pumiceshelf/members"
 	"pumiceshelf/objectstore"
+	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
 	"pumiceshelf/registry"
@@ -93,9 +95,12 @@
 	gateway               *gateway.Gateway
 	chooser               *placement.Chooser
 	limits                *endpointlimit.Limits
-	freezeGuard           *freezeGuard
-	callerServer          *http.Server
-	readyServer           *http.Server
+	versions              *registry.VersionHistory
+	// endpointsConfirmedAt is when the store last confirmed the endpoints.
+	endpointsConfirmedAt atomic.Pointer[time.Time]
+	freezeGuard          *freezeGuard
+	callerServer         *http.Server
+	readyServer          *http.Server
 }
 
 // New returns a Router that is not yet running.
@@ -106,7 +111,7 @@
 	if c.Dial == nil {
 		c.Dial = gateway.NewDialer().DialContext
 	}
-	r := &Router{config: c, freezeGuard: newFreezeGuard(c.Clock)}
+	r := &Router{config: c, freezeGuard: newFreezeGuard(c.Clock), versions: registry.NewVersionHistory()}
 	r.limits = endpointlimit.New(endpointlimit.Config{
 		Self: c.Settings.Name, Instances: func() []string { return r.members.Names() }, OnChange: r.logLimitChange,
 	})
@@ -119,7 +124,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return c.Dial(ctx, "tcp", address)
 		},
-		Clock: c.Clock, Log: c.Log, Limits: r.limits,
+		Clock: c.Clock, Log: c.Log, Limits: r.limits, Origins: origin.NewStore(), Versions: r.softwareVersions,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
 		Endpoints:     func() *objectstore.Listing { return r.endpointFollower.Snapshot() },
 		Lend: func(ctx context.Context, id prepaid.TransferID, customer string, tokens int64) int64 {
@@ -146,7 +151,8 @@
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
-		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits,
+		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Origins: r.members,
+		EndpointsAge: r.endpointsAge, Versions: r.softwareVersions,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
 		AwaitFreshState: r.freezeGuard.Wait, Dial: c.Dial, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
@@ -164,6 +170,21 @@
 	})
 }
 
+// softwareVersions returns the software versions that a service had lately, and whether they cover a time that is longer than
+// any stream.
+func (r *Router) softwareVersions(service string) (versions []string, complete bool) {
+	return r.versions.Versions(service, r.config.Clock.Now())
+}
+
+// endpointsAge returns the time since the store last confirmed the endpoints.
+func (r *Router) endpointsAge() time.Duration {
+	at := r.endpointsConfirmedAt.Load()
+	if at == nil {
+		return math.MaxInt64
+	}
+	return r.config.Clock.Since(*at)
+}
+
 // logLimitChange logs a change of an endpoint's rate limit.
 func (r *Router) logLimitChange(c endpointlimit.Change) {
 	fields := log.Fields{"endpoint": c.Endpoint.ID, "before_per_s": c.Before, "age_ms": c.Age.Milliseconds(), "from_instance": c.FromInstance}
@@ -240,6 +261,7 @@
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
 	group.Go(func() error { return r.members.RunExchangingLimits(background) })
+	group.Go(func() error { return r.members.RunPassingOrigins(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
 	group.Go(func() error { return serve(r.callerServer, listeners.caller) })
 	group.Go(func() error { return serve(r.readyServer, listeners.ready) })
