Bound only the leases of instances that allocate tokens to others

The bound guards against what a crash of all parks in large domains, whose token holders lease for many instances.

The test's scenario is a fifth of the budget and 4 s in place of 18% and 5 s: leaseShare itself, of a budget in which leases count as committed and at the level at which they are filled up again, lasts 4.1 s there. It fails without the change (51 of 80 refused). TestRestartOfAllParksFewTokens passes as before.

--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -209,6 +209,11 @@
 	if m.config.IsTokenHolder == nil || m.config.IsTokenHolder() {
 		return true
 	}
+	return m.allocates()
+}
+
+// allocates reports whether another instance requested an allocation within allocationWindow.
+func (m *Manager) allocates() bool {
 	allocatedAt := m.allocatedAt.Load()
 	return allocatedAt != 0 && m.config.Clock.Now().UnixNano()-allocatedAt < int64(allocationWindow)
 }
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -17,9 +17,10 @@
 	// leaseShare bounds a lease to this fraction of the instance's share of the remaining budget, so that few tokens are
 	// parked when all instances are killed at once near the end of a budget.
 	leaseShare = 0.35
-	// recoveryHorizon is how long the rest of a budget must last at the current rate for a lease to last through an outage. If
-	// all instances crash, the budget must still serve until they have recovered. Otherwise a lease is at most crashShare of
-	// the instance's share of the prepaid total, and what a crash parks is negligible.
+	// recoveryHorizon is how long the rest of a budget must last at the current rate for the lease of an instance that
+	// allocates tokens to others to last through an outage. If all instances crash, the budget must still serve until they
+	// have recovered. Otherwise such a lease is at most crashShare of the instance's share of the prepaid total, and what a
+	// crash parks is negligible.
 	recoveryHorizon = 18 * time.Second
 	crashShare      = 0.005
 	// idleShare is the fraction that a token holder leases before it has used the budget. An instance that stands in for the
@@ -66,6 +67,8 @@
 	prepaid, remaining int64
 	// share is this instance's fraction of the customer's traffic.
 	share float64
+	// allocates is set if this instance leases tokens for others.
+	allocates bool
 }
 
 // nextLimit returns the limit of an account after the next update. A lease below the fraction fillThreshold of its
@@ -93,9 +96,12 @@
 // may park.
 func (b budget) targetSize(d demand, ahead aheadMode) int64 {
 	ownShare := b.share * float64(b.remaining)
-	needed := max(d.ratePerSecond, d.longRatePerSecond) * recoveryHorizon.Seconds()
-	spare := max(ownShare+float64(d.limit-d.used)-needed, crashShare*b.share*float64(b.prepaid))
-	return int64(min(max(d.ratePerSecond*leaseHorizon.Seconds(), ahead.idleShare()*ownShare), leaseShare*ownShare, spare))
+	size := min(max(d.ratePerSecond*leaseHorizon.Seconds(), ahead.idleShare()*ownShare), leaseShare*ownShare)
+	if b.allocates {
+		needed := max(d.ratePerSecond, d.longRatePerSecond) * recoveryHorizon.Seconds()
+		size = min(size, max(ownShare+float64(d.limit-d.used)-needed, crashShare*b.share*float64(b.prepaid)))
+	}
+	return int64(size)
 }
 
 // trafficShare estimates an instance's fraction of a customer's traffic. Load balancers spread connections unevenly, so
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -148,7 +148,7 @@
 	}
 	committed := m.ledger.committed(customer)
 	share := trafficShare(d.limit, committed, m.config.TokenHolderCount())
-	return d, nextLimit(d, budget{prepaid: prepaid, remaining: max(prepaid-committed, 0), share: share}, fillThreshold, ahead), true
+	return d, nextLimit(d, budget{prepaid: prepaid, remaining: max(prepaid-committed, 0), share: share, allocates: m.allocates()}, fillThreshold, ahead), true
 }
 
 // aheadMode returns how much this instance leases in advance.
