--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -73,8 +73,12 @@
 	weight  float64
 	process *process
 	started time.Time
-	cancel  context.CancelFunc
-	store   *storeAccess
+	// starts holds when each process of the instance started.
+	starts []time.Time
+	// stopping is set once a process was told to stop.
+	stopping bool
+	cancel   context.CancelFunc
+	store    *storeAccess
 }
 
 // storeAccess is the access of one instance to the store.
@@ -152,12 +156,19 @@
 	for i := range endpoints {
 		e.addEndpoint(fmt.Sprintf("i-%03d", i), fmt.Sprintf("10.1.0.%d:80", i+1), "v1")
 	}
-	for i := range instances {
-		in := &emulatedInstance{name: fmt.Sprintf("front-%03d", i), weight: 0.2 + 1.6*e.random.Float64()}
+	e.addInstances(instances)
+	return e
+}
+
+// addInstances starts further instances.
+func (e *emulator) addInstances(n int) {
+	for range n {
+		e.mu.Lock()
+		in := &emulatedInstance{name: fmt.Sprintf("front-%03d", len(e.instances)), weight: 0.2 + 1.6*e.random.Float64()}
 		e.instances = append(e.instances, in)
-		e.startInstance(in)
+		e.startLocked(in)
+		e.mu.Unlock()
 	}
-	return e
 }
 
 // addEndpoint starts and registers an endpoint.
@@ -214,6 +225,13 @@
 
 // startInstance starts a process of an instance.
 func (e *emulator) startInstance(in *emulatedInstance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startLocked(in)
+}
+
+// startLocked is startInstance for a caller that holds the mutex.
+func (e *emulator) startLocked(in *emulatedInstance) {
 	text, err := json.Marshal(map[string]any{
 		"name": in.name, "domain": in.domain(), "callerAddress": in.address(80), "readyAddress": in.address(81), "peerAddress": in.address(82),
 		"storeAddress": "10.9.0.1:80", "grace": "8s",
@@ -227,9 +245,8 @@
 	}
 	p := e.network.newProcess(in.name)
 	ctx, cancel := context.WithCancel(context.Background())
-	e.mu.Lock()
 	in.process, in.cancel, in.started, in.store = p, cancel, time.Now(), &storeAccess{memoryStore: e.store}
-	e.mu.Unlock()
+	in.starts = append(in.starts, in.started)
 	r := router.New(router.Config{
 		Settings: settings, Store: in.store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Clock: clockwork.NewRealClock(),
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewRegistry(), Listen: p.listen, Dial: p.dial,
@@ -253,8 +270,19 @@
 
 // killInstance ends the process of an instance abruptly.
 func (e *emulator) killInstance(in *emulatedInstance) {
-	in.store.setCut(true)
-	in.process.kill()
+	e.mu.Lock()
+	store, process, cancel := in.store, in.process, in.cancel
+	e.mu.Unlock()
+	store.setCut(true)
+	process.kill()
+	cancel()
+}
+
+// stopInstance lets the process of an instance finish its requests and end. It gets no new ones.
+func (e *emulator) stopInstance(in *emulatedInstance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	in.stopping = true
 	in.cancel()
 }
 
@@ -288,7 +316,7 @@
 	total := 0.0
 	var running []*emulatedInstance
 	for _, in := range e.instances {
-		if !in.process.isKilled() {
+		if !in.process.isKilled() && !in.stopping {
 			running = append(running, in)
 			total += in.weight
 		}
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -100,8 +100,8 @@
 	regained float64
 }
 
-// playLimits plays one emulation in which some endpoints name a limit, change it and withdraw it while an instance is
-// killed and starts again.
+// playLimits plays one emulation in which some endpoints name a limit, change it and withdraw it, while instances are killed
+// and start again, join and leave.
 func playLimits(seed uint64, instances, endpoints, limited int, rate float64) (result limitResult) {
 	e := newEmulator(seed, instances, endpoints)
 	time.Sleep(2 * time.Second)
@@ -124,14 +124,27 @@
 		allowed += 14*first + 12*second
 	}
 	victim := e.instances[e.random.IntN(len(e.instances))]
-	starts := map[string][]time.Time{}
 	at(14+4*e.random.Float64(), func() { e.killInstance(victim) })
-	at(20, func() {
-		starts[victim.name] = append(starts[victim.name], time.Now())
-		e.startInstance(victim)
+	at(20, func() { e.startInstance(victim) })
+	third := e.random.Perm(instances)[:instances/3]
+	at(26, func() {
+		for _, i := range third {
+			e.killInstance(e.instances[i])
+		}
+		time.Sleep(time.Second)
+		for _, i := range third {
+			e.startInstance(e.instances[i])
+		}
 	})
+	at(31, func() { e.addInstances(max(instances/8, 1)) })
+	leaver := e.instances[e.random.IntN(instances)]
+	at(34, func() { e.stopInstance(leaver) })
 	e.play(rate, 50*time.Second, steps)
 	e.stop()
+	starts := make(map[string][]time.Time)
+	for _, in := range e.instances {
+		starts[in.name] = in.starts
+	}
 
 	used, regained, others := 0, 0, 0
 	for i, endpoint := range e.endpoints {
