--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -53,13 +53,15 @@
 // emulator runs instances, a store, endpoints of one model service and callers in one process, connected by a
 // memoryNetwork. It must run in a synctest bubble, whose virtual time it uses.
 type emulator struct {
-	random    *rand.Rand
 	network   *memoryNetwork
 	store     *memoryStore
 	callers   *process
 	client    *http.Client
 	instances []*emulatedInstance
-	mu        sync.Mutex
+	// mu guards the fields below, and those of instances that change.
+	mu sync.Mutex
+	// random is used without the mutex before play.
+	random *rand.Rand
 	// endpoints holds all endpoint processes that ever ran, serving those that run now.
 	endpoints, serving []*emulatedEndpoint
 	streams            []*stream
@@ -289,7 +291,6 @@
 // stream is one request of a caller with its attempts.
 type stream struct {
 	session string
-	began   time.Time
 	// versions holds the version of each event received, in order.
 	versions []string
 	// attempts holds the attempts in order.
@@ -340,12 +341,13 @@
 		})
 	}
 	for time.Since(start) < duration {
-		time.Sleep(time.Duration(e.random.ExpFloat64() / rate * float64(time.Second)))
-		s := &stream{session: fmt.Sprintf("%x", e.random.IntN(sessions)+1), began: time.Now()}
 		e.mu.Lock()
+		pause := time.Duration(e.random.ExpFloat64() / rate * float64(time.Second))
+		s := &stream{session: fmt.Sprintf("%x", e.random.IntN(sessions)+1)}
 		e.streams = append(e.streams, s)
 		in := e.pickInstance()
 		e.mu.Unlock()
+		time.Sleep(pause)
 		e.work.Go(func() { e.runStream(s, in) })
 	}
 }
