--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -81,6 +81,10 @@
 
 // ServeHTTP implements http.Handler.
 func (e *emulatedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Expect-Instance") != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr})
 	e.running++
