--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -54,8 +54,7 @@
 func (j *job) recordOrigin(e registry.Endpoint) {
 	g := j.gateway
 	if j.origin == nil {
-		attempt := j.meta.ID
-		j.origin, j.firstEndpoint = &origin.Origin{Attempt: attempt, Service: j.service, Version: e.SoftwareVersion}, e
+		j.origin, j.firstEndpoint = &origin.Origin{Attempt: j.meta.ID, Service: j.service, Version: e.SoftwareVersion}, e
 		j.versionUncertain = j.severalVersions() &&
 			(g.config.EndpointsAge() > maxEndpointsAge || g.config.Chooser.LostConnection(e, g.config.Clock.Now().Add(-restartPeriod)))
 	}
--- a/members/origins.go
+++ b/members/origins.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,8 @@
 // RunPassingOrigins passes on the origins of streams until the context ends.
 func (m *Members) RunPassingOrigins(ctx context.Context) error {
 	calls := make(chan struct{}, maxOriginCalls)
+	var inProgress sync.WaitGroup
+	defer inProgress.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -75,10 +78,10 @@
 		case first := <-m.originQueue:
 			for _, batch := range m.originBatches(first) {
 				calls <- struct{}{}
-				go func() {
+				inProgress.Go(func() {
 					defer func() { <-calls }()
 					m.storeBatch(ctx, batch)
-				}()
+				})
 			}
 		}
 	}
