--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -169,6 +169,8 @@
 // harness is a gateway in front of fake endpoints.
 type harness struct {
 	gateway   *gateway.Gateway
+	config    gateway.Config
+	routes    routing.Config
 	server    *httptest.Server
 	budgets   *fakeBudgets
 	table     atomic.Pointer[routing.Table]
@@ -183,23 +185,42 @@
 
 func newHarness(endpoints ...*fakeEndpoint) *harness {
 	h := &harness{endpointsAge: func() time.Duration { return 0 }, budgets: &fakeBudgets{}, origins: &fakeOrigins{origins: make(map[string]origin.Origin), versions: []string{"v1"}, complete: true}, endpoints: endpoints, registry: metrics.NewRegistry(), logs: &logRecorder{}}
-	h.table.Store(routing.Compile(testConfig()))
+	h.routes = testConfig()
+	h.changeRoutes(func(*routing.Route) {})
 	h.list()
 	limits := endpointlimit.New(endpointlimit.Config{
 		Self: "front-1", Instances: func() []string { return []string{"front-1"} }, OnChange: func(endpointlimit.Change) {},
 	})
-	h.gateway = gateway.New(gateway.Config{
+	h.config = gateway.Config{
 		Headers: platform.Headers{}, Budgets: h.budgets, Chooser: placement.New(limits), Limits: limits,
 		RetryBudget: retrybudget.New(retrybudget.Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}),
 		Table:       h.table.Load, Endpoints: h.view.Load, InstanceCount: func() int { return 1 }, Domain: "hall-a",
 		Clock: clockwork.NewRealClock(), Log: &log.Logger{Handler: h.logs, Level: log.InfoLevel}, Metrics: h.registry,
 		Uniform: func() float64 { return 0 }, Origins: h.origins, Versions: h.origins.recent,
 		EndpointsAge: func() time.Duration { return h.endpointsAge() },
-	})
+	}
+	h.gateway = gateway.New(h.config)
 	h.server = httptest.NewServer(h.gateway)
 	return h
 }
 
+// restart replaces the gateway by one with the present configuration.
+func (h *harness) restart() {
+	h.server.Close()
+	h.config.Metrics = metrics.NewRegistry()
+	h.registry = h.config.Metrics
+	h.gateway = gateway.New(h.config)
+	h.server = httptest.NewServer(h.gateway)
+}
+
+// changeRoutes changes all routes of the configuration.
+func (h *harness) changeRoutes(change func(*routing.Route)) {
+	for i := range h.routes.Routes {
+		change(&h.routes.Routes[i])
+	}
+	h.table.Store(routing.Compile(h.routes))
+}
+
 // list makes the present versions of the endpoints known to the gateway.
 func (h *harness) list() {
 	set := registry.NewSet()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -56,22 +56,10 @@
 	g.config.RetryBudget.RecordRequest(j.service, g.config.Clock.Now())
 	var last failure
 	for {
-		choice := j.pickEndpoint(last)
-		switch choice.Outcome {
-		case placement.NoEndpoint:
-			return j.giveUp(j.preferErrorResponse(failure{reason: j.noEndpointReason()}))
-		case placement.Overloaded:
-			j.logger().WithField("expected_ms", choice.EstimatedWait.Milliseconds()).Info("gateway: no engine can respond in time")
-			return j.giveUp(failure{reason: reasonOverloaded, estimatedWait: choice.EstimatedWait})
-		case placement.RateLimited:
-			return j.giveUp(j.preferErrorResponse(failure{reason: reasonRateLimited}))
-		case placement.Chosen:
+		ticket, missing := j.nextTicket(last)
+		if missing != nil {
+			return j.giveUp(*missing)
 		}
-		if choice.Limited {
-			g.metrics.limited.Inc(1)
-			j.logger().WithField("endpoint", choice.Ticket.Endpoint.ID).Info("gateway: request sent within the endpoint's rate limit")
-		}
-		ticket := choice.Ticket
 		f := j.tryEndpoint(ticket)
 		if f == nil {
 			return nil
@@ -89,6 +77,31 @@
 	}
 }
 
+// nextTicket returns the reserved attempt, or chooses an endpoint. If there is none, it returns the failure to end with.
+func (j *job) nextTicket(last failure) (*placement.Ticket, *failure) {
+	if t := j.takeReserved(); t != nil {
+		return t, nil
+	}
+	choice := j.pickEndpoint(last)
+	var missing failure
+	switch choice.Outcome {
+	case placement.NoEndpoint:
+		missing = j.preferErrorResponse(failure{reason: j.noEndpointReason()})
+	case placement.Overloaded:
+		j.logger().WithField("expected_ms", choice.EstimatedWait.Milliseconds()).Info("gateway: no engine can respond in time")
+		missing = failure{reason: reasonOverloaded, estimatedWait: choice.EstimatedWait}
+	case placement.RateLimited:
+		missing = j.preferErrorResponse(failure{reason: reasonRateLimited})
+	case placement.Chosen:
+		if choice.Limited {
+			j.gateway.metrics.limited.Inc(1)
+			j.logger().WithField("endpoint", choice.Ticket.Endpoint.ID).Info("gateway: request sent within the endpoint's rate limit")
+		}
+		return choice.Ticket, nil
+	}
+	return nil, &missing
+}
+
 // pickEndpoint chooses an endpoint that was not tried yet. If none is left and the last attempt ended with an error
 // response, the same endpoint may be chosen again.
 func (j *job) pickEndpoint(last failure) placement.Choice {
@@ -157,6 +170,8 @@
 	switch {
 	case f.reason == reasonCallerCanceled, j.ctx.Err() != nil, j.remainingTime() < minRemainingTime:
 		return false
+	case j.reserved != nil:
+		return true
 	case j.mayHaveRun && !j.route.Retryable():
 		return false
 	case !f.sent:
@@ -200,7 +215,10 @@
 	defer cancel(nil)
 	var wd *watchdog
 	if j.route.Retryable() {
-		wd = startWatchdog(ticket, j.route, cancel, g.config.Clock.Now)
+		j.setMovable(true)
+		defer j.setMovable(false)
+		move := func(since time.Time) bool { return j.reserveMove(ticket, since) }
+		wd = startWatchdog(ticket, j.route, move, cancel, g.config.Clock.Now)
 		defer wd.stop()
 	}
 	var written atomic.Bool
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -28,7 +29,7 @@
 	maxDialFailures = 4
 )
 
-// job is the state of one request in progress. It belongs to one goroutine.
+// job is the state of one request in progress. It belongs to one goroutine, apart from what reserveMove reads.
 type job struct {
 	gateway *Gateway
 	w       http.ResponseWriter
@@ -61,6 +62,14 @@
 	// lastErrorResponse is the last failure that includes a response of an endpoint.
 	lastErrorResponse *failure
 
+	// mu guards movable, reserved and stayLogged, and the origin, while an attempt is in progress.
+	mu sync.Mutex
+	// movable is set while an attempt is in progress that may move to another endpoint, which is then reserved.
+	movable  bool
+	reserved *placement.Ticket
+	// stayLogged is set once it is logged that the request stays at a silent endpoint.
+	stayLogged bool
+
 	// headerSent is set once the header of a streamed response was sent to the caller.
 	headerSent bool
 	// lastEventID is the ID of the last event that was sent to the caller.
@@ -226,6 +235,7 @@
 		return
 	}
 	j.finished = true
+	j.releaseReserved()
 	if j.cancel != nil {
 		j.cancel()
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -53,6 +53,8 @@
 // that knew its origin may be gone by its next resumption.
 func (j *job) recordOrigin(e registry.Endpoint) {
 	g := j.gateway
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	if j.origin == nil {
 		j.origin, j.firstEndpoint = &origin.Origin{Attempt: j.meta.ID, Service: j.service, Version: e.SoftwareVersion}, e
 		j.versionUncertain = j.severalVersions() &&
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,25 +28,32 @@
 // errUnresponsive is the cancellation cause of a request to an unresponsive endpoint.
 var errUnresponsive = errors.New("gateway: endpoint is unresponsive")
 
-// watchdog cancels a request that makes no progress if its endpoint responds to no other request either.
+// watchdog cancels a request that makes no progress if its endpoint responds to no other request either, and the request can
+// move to another endpoint. Otherwise the request stays, because a sound endpoint may be silent for a while.
 type watchdog struct {
 	ticket *placement.Ticket
 	route  *routing.Route
+	// move reserves an attempt at another endpoint, one that responded after the given time. It returns false if there is none.
+	move   func(since time.Time) bool
 	cancel context.CancelCauseFunc
 	now    func() time.Time
 	// lastProgress is the Unix time of the last progress in nanoseconds.
 	lastProgress   atomic.Int64
 	firstEventSeen atomic.Bool
-	timer          *time.Timer
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
 // startWatchdog starts a watchdog for one request. Without a latency objective on the route, it never cancels the
 // request.
-func startWatchdog(t *placement.Ticket, r *routing.Route, cancel context.CancelCauseFunc, now func() time.Time) *watchdog {
-	d := &watchdog{ticket: t, route: r, cancel: cancel, now: now}
+func startWatchdog(t *placement.Ticket, r *routing.Route, move func(since time.Time) bool, cancel context.CancelCauseFunc, now func() time.Time) *watchdog {
+	d := &watchdog{ticket: t, route: r, move: move, cancel: cancel, now: now}
 	d.lastProgress.Store(now().UnixNano())
 	if limit := d.stallTimeout(); limit > 0 {
-		d.timer = time.AfterFunc(limit, d.check)
+		d.checkAfter(limit)
 	}
 	return d
 }
@@ -76,15 +84,27 @@
 	overdue := d.now().Sub(since) - limit
 	switch {
 	case overdue < 0:
-		d.timer.Reset(-overdue)
-	case d.ticket.UnresponsiveSince(since):
+		d.checkAfter(-overdue)
+	case d.ticket.UnresponsiveSince(since) && d.move(since):
 		d.cancel(errUnresponsive)
 	default:
-		d.timer.Reset(stallCheckInterval)
+		d.checkAfter(stallCheckInterval)
+	}
+}
+
+// checkAfter starts the timer for the next check, unless the watchdog was stopped.
+func (d *watchdog) checkAfter(wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stopped {
+		d.timer = time.AfterFunc(wait, d.check)
 	}
 }
 
 func (d *watchdog) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
 	if d.timer != nil {
 		d.timer.Stop()
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,9 @@
 	MaxTimeToFirstToken time.Duration
 	// Domain is the failure domain of this instance. Among endpoints of equal load, those in it are preferred.
 	Domain string
+	// RespondedSince is set for a request that may as well stay where it is. It excludes ejected endpoints, and those that
+	// have requests of this instance in progress and responded to none after that time.
+	RespondedSince time.Time
 }
 
 // PromptPart is a section of a prompt that engines cache and that several requests may share.
@@ -140,6 +143,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	usable, limited := c.usable(endpoints, tried, now)
+	if !r.RespondedSince.IsZero() {
+		usable = c.responding(usable, r.RespondedSince, now)
+	}
 	if len(usable) == 0 && limited {
 		return Choice{Outcome: RateLimited}
 	}
@@ -209,6 +215,17 @@
 	}
 }
 
+// responding returns the endpoints that are not ejected, and responded after since if they have requests in progress.
+func (c *Chooser) responding(endpoints []*endpointState, since, now time.Time) (out []*endpointState) {
+	for _, s := range endpoints {
+		excluded := now.Before(s.ejectedUntil) || c.domains[s.endpoint.Domain].partitioned(now)
+		if !excluded && (s.inflight == 0 || s.respondedAt.After(since)) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // stateOf returns the state of an endpoint. A new process under the same ID starts with an empty state.
 func (c *Chooser) stateOf(e registry.Endpoint) *endpointState {
 	s := c.states[e.ID]
@@ -244,7 +261,7 @@
 func (t *Ticket) RecordProgress(now time.Time) {
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
-	t.state.respondedAt = now
+	t.state.recordResponse(now)
 	t.state.finishPrefill(t.prefill)
 	t.prefill = nil
 }
@@ -257,6 +274,18 @@
 	return !t.state.respondedAt.After(since)
 }
 
+// RecordSilence records that the endpoint responds to no request, while this one continues to wait. Others get new requests
+// until it responds. It returns the time until which the endpoint is ejected, or the zero time if it was ejected before.
+func (t *Ticket) RecordSilence(now time.Time) (ejectedUntil time.Time) {
+	t.chooser.mu.Lock()
+	defer t.chooser.mu.Unlock()
+	if t.state.silent && now.Before(t.state.ejectedUntil) {
+		return time.Time{}
+	}
+	t.state.silent = true
+	return t.state.eject(now)
+}
+
 // RecordLoad records a load report of the endpoint.
 func (t *Ticket) RecordLoad(l Load, now time.Time) {
 	t.chooser.mu.Lock()
--- a/placement/state.go
+++ b/placement/state.go
@@ -43,9 +43,11 @@
 	failureAvgAt time.Time
 	ejections    int
 	ejectedUntil time.Time
-	busyUntil    time.Time
-	load         Load
-	loadAt       time.Time
+	// silent is set while the endpoint is ejected only because it does not respond.
+	silent    bool
+	busyUntil time.Time
+	load      Load
+	loadAt    time.Time
 	// lostConnectionAt is when a connection to the endpoint last failed.
 	lostConnectionAt time.Time
 	// respondedAt is when the endpoint last responded to a request or sent a stream event.
@@ -67,7 +69,7 @@
 // busy, or the zero time.
 func (s *endpointState) recordResult(r Result, now time.Time) time.Time {
 	if r == Served || r == Errored || r == Busy {
-		s.respondedAt = now
+		s.recordResponse(now)
 	}
 	if r == InvalidResponse || r == Unreachable || r == Unresponsive {
 		s.lostConnectionAt = now
@@ -80,9 +82,8 @@
 		s.updateFailureRate(1, now)
 	case Unreachable, Unresponsive:
 		s.updateFailureRate(1, now)
-		s.ejectedUntil = now.Add(min(minEjection<<min(s.ejections, 8), maxEjection))
-		s.ejections++
-		return s.ejectedUntil
+		s.silent = r == Unresponsive
+		return s.eject(now)
 	case Busy:
 		s.busyUntil = now.Add(busyPause)
 		return s.busyUntil
@@ -91,6 +92,21 @@
 	return time.Time{}
 }
 
+// recordResponse records that the endpoint responds, and ends an ejection for silence.
+func (s *endpointState) recordResponse(now time.Time) {
+	s.respondedAt = now
+	if s.silent {
+		s.silent, s.ejections, s.ejectedUntil = false, 0, time.Time{}
+	}
+}
+
+// eject excludes the endpoint from new requests, for longer each time. It returns the end of that time.
+func (s *endpointState) eject(now time.Time) time.Time {
+	s.ejectedUntil = now.Add(min(minEjection<<min(s.ejections, 8), maxEjection))
+	s.ejections++
+	return s.ejectedUntil
+}
+
 // updateFailureRate adds a result to the moving average of failures; failed is 1 for a failure and 0 otherwise.
 func (s *endpointState) updateFailureRate(failed float64, now time.Time) {
 	rate := s.failureRate(now)
