--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -61,7 +61,7 @@
 	debug.SetMemoryLimit(int64(s.MemoryMb * memoryLimitFraction * (1 << 20)))
 
 	clock := clockwork.NewRealClock()
-	dialer := gateway.NewDialer()
+	dialer := gateway.NewDialer(gateway.MaxUnackedTime)
 	objects := platform.NewObjectStore(s.StoreAddress, &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
 	}}, clock, storeCallTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,7 +62,7 @@
 	Clock   clockwork.Clock
 	Log     log.Interface
 	Metrics metrics.Registry
-	// Dial connects to endpoints. If nil, it is that of NewDialer.
+	// Dial connects to endpoints. If nil, it is that of NewDialer with MaxEndpointUnackedTime.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Uniform returns a uniformly distributed random number in [0, 1).
 	Uniform func() float64
@@ -80,7 +80,7 @@
 // New returns a Gateway for the given configuration.
 func New(c Config) *Gateway {
 	if c.Dial == nil {
-		c.Dial = NewDialer().DialContext
+		c.Dial = NewDialer(MaxEndpointUnackedTime).DialContext
 	}
 	return &Gateway{config: c, transport: newTransport(c.Dial), metrics: newGatewayMetrics(c.Metrics)}
 }
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -13,10 +13,14 @@
 	// If the accept queue of an endpoint is full, the connection takes seconds and another endpoint is the better
 	// choice.
 	dialTimeout = 300 * time.Millisecond
-	// maxUnackedTime is how long sent data may stay unacknowledged before the connection is closed. It allows two
-	// retransmissions at the minimum TCP timeout, after 200 and 400 ms.
-	maxUnackedTime = time.Second
-	// The keep-alive settings detect a dead idle connection within about a second.
+	// MaxUnackedTime is how long data sent to the store or to another instance may stay unacknowledged, or unread with a full
+	// receive window, before the connection is closed. It allows two retransmissions at the minimum TCP timeout, after 200 and
+	// 400 ms.
+	MaxUnackedTime = time.Second
+	// MaxEndpointUnackedTime is the same for endpoints. It exceeds the pause of a sound endpoint, which reads nothing for
+	// a second or so.
+	MaxEndpointUnackedTime = 2 * time.Second
+	// The keep-alive settings detect a dead idle connection. Linux counts the first two in whole seconds.
 	keepAliveIdle     = 500 * time.Millisecond
 	keepAliveInterval = 250 * time.Millisecond
 	keepAliveCount    = 2
@@ -36,15 +40,16 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// NewDialer returns a dialer whose connections fail when the peer stops acknowledging data or keep-alive probes.
-func NewDialer() *net.Dialer {
+// NewDialer returns a dialer whose connections fail when the peer stops acknowledging keep-alive probes, or data for the given
+// time.
+func NewDialer(maxUnacked time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: KeepAliveConfig(),
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var optErr error
 			err := c.Control(func(fd uintptr) {
-				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(maxUnackedTime.Milliseconds()))
+				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(maxUnacked.Milliseconds()))
 			})
 			if err != nil {
 				return err
--- a/router/router.go
+++ b/router/router.go
@@ -108,8 +108,9 @@
 	if c.Listen == nil {
 		c.Listen = (&net.ListenConfig{KeepAliveConfig: gateway.KeepAliveConfig()}).Listen
 	}
+	dialEndpoint := c.Dial
 	if c.Dial == nil {
-		c.Dial = gateway.NewDialer().DialContext
+		c.Dial = gateway.NewDialer(gateway.MaxUnackedTime).DialContext
 	}
 	r := &Router{config: c, freezeGuard: newFreezeGuard(c.Clock), versions: registry.NewVersionHistory()}
 	r.limits = endpointlimit.New(endpointlimit.Config{
@@ -154,7 +155,7 @@
 		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Origins: r.members,
 		EndpointsAge: r.endpointsAge, Versions: r.softwareVersions,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
-		AwaitFreshState: r.freezeGuard.Wait, Dial: c.Dial, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
+		AwaitFreshState: r.freezeGuard.Wait, Dial: dialEndpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.callerServer = &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
