Emulate responses that end with the connection, sound and broken off

Cause: the emulations send only responses with chunks or a length, and net.Pipe cannot tell a reset connection from a closed one, so that nothing shows what a caller gets when such a response ends early.

Change: connections of the emulated network can be reset, after which the peer's reads fail with ECONNRESET. Endpoints have a hook for other responses and know the IDs of their requests; instances may have other settings and record their logs.

--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +23,8 @@
 type arrival struct {
 	at       time.Time
 	instance string
+	// request is the ID of the request.
+	request string
 }
 
 // namedLimit is a limit that an endpoint named from a time on; a negative rate means none.
@@ -37,6 +40,8 @@
 	started              time.Time
 	process              *process
 	server               *http.Server
+	// respond writes a response. It must be set before the first request.
+	respond http.HandlerFunc
 
 	mu       sync.Mutex
 	running  int
@@ -51,7 +56,8 @@
 	e := &emulatedEndpoint{
 		id: id, address: address, version: version, started: time.Now(), process: n.newProcess(id), told: make(map[string]time.Time),
 	}
-	e.server = &http.Server{Handler: e}
+	e.respond = e.respondStream
+	e.server = &http.Server{Handler: e, ConnContext: withConn}
 	l, err := e.process.listen(context.Background(), "", address)
 	if err != nil {
 		panic(err)
@@ -81,12 +87,14 @@
 
 // ServeHTTP implements http.Handler.
 func (e *emulatedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The server notices that the client is gone once the body is read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	if r.Header.Get("X-Expect-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr})
+	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr, request: r.Header.Get("X-Request-Id")})
 	e.running++
 	delay := firstEventDelay + time.Duration(e.running)*slowdownPerRequest
 	e.mu.Unlock()
@@ -95,13 +103,17 @@
 		defer e.mu.Unlock()
 		e.running--
 	}()
-	if !pause(r.Context(), delay) {
-		return
+	if pause(r.Context(), delay) {
+		e.respond(w, r)
 	}
+}
+
+// respondStream sends a stream, or the rest of one that is resumed.
+func (e *emulatedEndpoint) respondStream(w http.ResponseWriter, r *http.Request) {
 	e.writeHeader(w, r)
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for id := first + 1; id <= streamEventCount; id++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, e.version); err != nil {
+		if _, err := io.WriteString(w, streamBody(e.version, id, id)); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
--- a/router/emulated_network_test.go
+++ b/router/emulated_network_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -97,9 +99,8 @@
 	if l == nil || p.isKilled() {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	}
-	local, remote := net.Pipe()
-	accepted := &memoryConn{Conn: remote, peer: memoryAddr(p.name)}
-	if !p.own(local, nil) || !l.owner.own(remote, nil) {
+	local, accepted := newMemoryConns(memoryAddr(p.name), memoryAddr(address))
+	if !p.own(local, nil) || !l.owner.own(accepted, nil) {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	}
 	select {
@@ -144,14 +145,61 @@
 
 func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
 
-// memoryConn is the accepted end of a connection.
+// memoryConn is one end of a connection.
 type memoryConn struct {
 	net.Conn
 	peer memoryAddr
+	// isReset is set once either end was reset.
+	isReset *atomic.Bool
+}
+
+// newMemoryConns returns both ends of a new connection.
+func newMemoryConns(dialer, listener memoryAddr) (local, accepted *memoryConn) {
+	a, b := net.Pipe()
+	isReset := new(atomic.Bool)
+	return &memoryConn{Conn: a, peer: listener, isReset: isReset}, &memoryConn{Conn: b, peer: dialer, isReset: isReset}
+}
+
+// reset closes the connection so that reads and writes of the peer fail with ECONNRESET. After Close, reads return io.EOF.
+func (c *memoryConn) reset() {
+	c.isReset.Store(true)
+	_ = c.Close()
+}
+
+func (c *memoryConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	return n, c.translate("read", err)
+}
+
+func (c *memoryConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	return n, c.translate("write", err)
+}
+
+// translate returns the error of an operation on a connection that may have been reset.
+func (c *memoryConn) translate(op string, err error) error {
+	if err == nil || !c.isReset.Load() {
+		return err
+	}
+	return &net.OpError{Op: op, Net: "memory", Addr: c.peer, Err: syscall.ECONNRESET}
 }
 
 func (c *memoryConn) RemoteAddr() net.Addr { return c.peer }
 
+// connKey is the context key of the connection that a request arrived on.
+type connKey struct{}
+
+// withConn has the signature of http.Server.ConnContext.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// resetConn resets the connection that a request arrived on, and ends its handler.
+func resetConn(ctx context.Context) {
+	ctx.Value(connKey{}).(*memoryConn).reset()
+	panic(http.ErrAbortHandler)
+}
+
 // memoryAddr is the address of a listener or the name of a process.
 type memoryAddr string
 
--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -42,6 +43,9 @@
 // The metrics library starts a goroutine that never ends with its first meter. It must not belong to an emulation.
 var _ = metrics.NewMeter()
 
+// sessionsPerInstance is the number of sessions of callers for each instance.
+const sessionsPerInstance = 40
+
 // maxResumptions is how often a caller takes up a stream again.
 const maxResumptions = 2
 
@@ -57,6 +61,9 @@
 	callers   *process
 	client    *http.Client
 	instances []*emulatedInstance
+	// settings are added to those of instances that start, and logs receives their logs unless it is nil.
+	settings map[string]any
+	logs     log.Handler
 	// mu guards the fields below, and those of instances that change.
 	mu sync.Mutex
 	// random is used without the mutex before play.
@@ -233,10 +240,12 @@
 
 // startLocked is startInstance for a caller that holds the mutex.
 func (e *emulator) startLocked(in *emulatedInstance) {
-	text, err := json.Marshal(map[string]any{
+	settingValues := map[string]any{
 		"name": in.name, "domain": in.domain(), "callerAddress": in.address(80), "readyAddress": in.address(81), "peerAddress": in.address(82),
 		"storeAddress": "10.9.0.1:80", "grace": "8s",
-	})
+	}
+	maps.Copy(settingValues, e.settings)
+	text, err := json.Marshal(settingValues)
 	if err != nil {
 		panic(err)
 	}
@@ -250,11 +259,18 @@
 	in.starts = append(in.starts, in.started)
 	r := router.New(router.Config{
 		Settings: settings, Store: in.store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Clock: clockwork.NewRealClock(),
-		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewRegistry(), Listen: p.listen, Dial: p.dial,
+		Log: e.newLogger(), Metrics: metrics.NewRegistry(), Listen: p.listen, Dial: p.dial,
 	})
 	e.work.Go(func() { _ = r.Run(ctx) })
 }
 
+func (e *emulator) newLogger() *log.Logger {
+	if e.logs == nil {
+		return &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	}
+	return &log.Logger{Handler: e.logs, Level: log.InfoLevel}
+}
+
 // number returns the position of the instance among all.
 func (in *emulatedInstance) number() (n int) {
 	_, _ = fmt.Sscanf(in.name, "front-%d", &n)
@@ -334,13 +350,8 @@
 
 // play sends the given number of requests a second for a duration. At the given times from the start it runs the steps.
 func (e *emulator) play(rate float64, duration time.Duration, steps map[time.Duration]func()) {
-	start, sessions := time.Now(), 40*len(e.instances)
-	for at, step := range steps {
-		e.work.Go(func() {
-			time.Sleep(at)
-			step()
-		})
-	}
+	start, sessions := time.Now(), sessionsPerInstance*len(e.instances)
+	e.startSteps(steps)
 	for time.Since(start) < duration {
 		e.mu.Lock()
 		pause := time.Duration(e.random.ExpFloat64() / rate * float64(time.Second))
@@ -353,6 +364,16 @@
 	}
 }
 
+// startSteps runs the steps at the given times from now.
+func (e *emulator) startSteps(steps map[time.Duration]func()) {
+	for at, step := range steps {
+		e.work.Go(func() {
+			time.Sleep(at)
+			step()
+		})
+	}
+}
+
 // runStream sends a request, and resumes its stream up to maxResumptions times if it is cut off.
 func (e *emulator) runStream(s *stream, in *emulatedInstance) {
 	id := e.nextID()
