Emulate endpoints that fall silent and go on (fails: LOST)

Cause: no emulated endpoint is silent for a while and goes on, which is no reason to end a response early.

They read requests and send nothing, and then go on where they were.

The watchdog gives up requests at 1 s; their attempts or the retry budget are used up.

--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -49,6 +49,8 @@
 	limits   []namedLimit
 	// told holds when each instance was first sent a response that names a limit.
 	told map[string]time.Time
+	// silences holds the times in which the endpoint sent nothing.
+	silences []silence
 }
 
 // startEndpoint starts an endpoint. It is not registered yet.
@@ -90,7 +92,9 @@
 	// The server notices that the client is gone once the body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
 	if r.Header.Get("X-Expect-Instance") != e.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		if e.pause(r.Context(), 0) {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}
 		return
 	}
 	e.mu.Lock()
@@ -103,7 +107,7 @@
 		defer e.mu.Unlock()
 		e.running--
 	}()
-	if pause(r.Context(), delay) {
+	if e.pause(r.Context(), delay) {
 		e.respond(w, r)
 	}
 }
@@ -117,7 +121,7 @@
 			return
 		}
 		w.(http.Flusher).Flush()
-		if !pause(r.Context(), streamEventGap) {
+		if !e.pause(r.Context(), streamEventGap) {
 			return
 		}
 	}
--- a/router/unframed_test.go
+++ b/router/unframed_test.go
@@ -68,7 +68,7 @@
 			e.writeHeader(w, r)
 		}
 		for _, piece := range pieces[:resp.pieces] {
-			if !sendPiece(w, piece) || !pause(r.Context(), streamEventGap) {
+			if !sendPiece(w, piece) || !e.pause(r.Context(), streamEventGap) {
 				return
 			}
 		}
