--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -46,8 +46,8 @@
 	told map[string]time.Time
 }
 
-// startEndpoint starts an endpoint. It is not registered yet.
-func startEndpoint(n *memoryNetwork, id, address, version string) *emulatedEndpoint {
+// startEndpoint starts an endpoint. It is not registered yet. The handlers that wrap returns serve its requests.
+func startEndpoint(n *memoryNetwork, id, address, version string, wrap ...func(*emulatedEndpoint) http.Handler) *emulatedEndpoint {
 	e := &emulatedEndpoint{
 		id: id, address: address, version: version, started: time.Now(), process: n.newProcess(id), told: make(map[string]time.Time),
 	}
@@ -56,6 +56,9 @@
 	if err != nil {
 		panic(err)
 	}
+	for _, w := range wrap {
+		e.server.Handler = w(e)
+	}
 	go func() { _ = e.server.Serve(l) }()
 	return e
 }
--- a/router/emulated_network_test.go
+++ b/router/emulated_network_test.go
@@ -17,6 +17,7 @@
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	links     links
 }
 
 func newMemoryNetwork() *memoryNetwork {
@@ -84,8 +85,8 @@
 	return l, nil
 }
 
-// dial has the signature of net.Dialer.DialContext.
-func (p *process) dial(ctx context.Context, _, address string) (net.Conn, error) {
+// connect opens a connection that is not a link yet.
+func (p *process) connect(ctx context.Context, address string) (net.Conn, error) {
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -59,6 +59,8 @@
 	instances []*emulatedInstance
 	// mu guards the fields below, and those of instances that change.
 	mu sync.Mutex
+	// wrapEndpoint, if set, returns the handler that serves the requests of an endpoint in place of the endpoint itself.
+	wrapEndpoint func(*emulatedEndpoint) http.Handler
 	// random is used without the mutex before play.
 	random *rand.Rand
 	// endpoints holds all endpoint processes that ever ran, serving those that run now.
@@ -181,7 +183,11 @@
 
 // startUnregistered starts an endpoint that is not in service discovery yet.
 func (e *emulator) startUnregistered(id, address, version string) *emulatedEndpoint {
-	endpoint := startEndpoint(e.network, id, address, version)
+	var wrap []func(*emulatedEndpoint) http.Handler
+	if e.wrapEndpoint != nil {
+		wrap = append(wrap, e.wrapEndpoint)
+	}
+	endpoint := startEndpoint(e.network, id, address, version, wrap...)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.endpoints, e.serving = append(e.endpoints, endpoint), append(e.serving, endpoint)
@@ -292,6 +298,8 @@
 	session string
 	// versions holds the version of each event received, in order.
 	versions []string
+	// prepare, if set, completes each request of the stream before it is sent.
+	prepare func(*http.Request)
 	// attempts holds the attempts in order.
 	attempts []attempt
 	complete bool
@@ -407,6 +415,9 @@
 		req.Header.Set("Resumes", resumes)
 		req.Header.Set("Last-Event-Id", fmt.Sprint(len(s.versions)))
 	}
+	if s.prepare != nil {
+		s.prepare(req)
+	}
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return
