Leave time to judge related requests after long disruptions

Change: disruptions wait 5 s for crashes at most, and the store is cut off for 5 s. A test logs refusals of requests with and without a crashing part apart.

--- a/router/crash_part_test.go
+++ b/router/crash_part_test.go
@@ -20,7 +20,7 @@
 	// minRelatedRequests is the number of related requests from which the share of those that begin is judged.
 	minRelatedRequests = 20
 	// maxWaitForCrashes is how long after the first request with a part a disruption waits for crashes.
-	maxWaitForCrashes = 7 * time.Second
+	maxWaitForCrashes = 5 * time.Second
 
 	// partBegins is when requests with the first part begin, partLasts how long each part's requests come.
 	partBegins = 6 * time.Second
@@ -92,7 +92,7 @@
 
 func (p *crashPlay) cutAllFromStore() {
 	p.awaitCrashes(1 + p.choices.IntN(4))
-	p.cutFromStore(p.instances, 6*time.Second)
+	p.cutFromStore(p.instances, 5*time.Second)
 }
 
 // prefer lets every second request with a part go to an instance, or to any if it is nil.
@@ -215,6 +215,8 @@
 	return slices.ContainsFunc(p.ordered, func(part *crashingPart) bool { return slices.Contains(r.parts, part.id) })
 }
 
+func (p *crashPlay) isSound(r *promptRequest) bool { return !p.crashes(r) }
+
 // check fails the test if a rule on a part is broken.
 func (p *crashPlay) check(t *testing.T, part *crashingPart) {
 	t.Helper()
@@ -256,7 +258,7 @@
 						for _, part := range p.ordered {
 							p.check(t, part)
 						}
-						t.Logf("refused: %v", p.refusals())
+						t.Logf("refused with a part: %v, without: %v", p.refusals(p.crashes), p.refusals(p.isSound))
 						if t.Failed() {
 							t.Log("timeline:\n" + p.timeline())
 						}
--- a/router/emulated_crash_test.go
+++ b/router/emulated_crash_test.go
@@ -458,10 +458,13 @@
 	}
 }
 
-// refusals counts the attempts that were refused with a status, by status and title.
-func (c *crashEmulator) refusals() map[string]int {
+// refusals counts the attempts of selected requests that were refused, by status and title.
+func (c *crashEmulator) refusals(selected func(*promptRequest) bool) map[string]int {
 	refused := make(map[string]int)
 	for _, p := range c.requests {
+		if !selected(p) {
+			continue
+		}
 		for _, a := range p.attempts {
 			if a.status != 0 && a.status != http.StatusOK {
 				refused[strconv.Itoa(a.status)+" "+a.problem]++
--- a/router/endpoint_crash_test.go
+++ b/router/endpoint_crash_test.go
@@ -89,10 +89,12 @@
 	c.stop()
 }
 
+func allRequests(*promptRequest) bool { return true }
+
 // unexpectedRefusals returns the attempts that were refused for a reason that crashes and resets do not explain: those that a
 // response was lost with the endpoint for are expected, and a few for which the remaining endpoints are overloaded.
 func (c *crashEmulator) unexpectedRefusals() map[string]int {
-	refused := c.refusals()
+	refused := c.refusals(allRequests)
 	delete(refused, "502 answer-lost")
 	delete(refused, "502 answer-cut")
 	if float64(refused["503 overloaded"]) <= maxOverloadedShare*float64(len(c.requests)) {
@@ -109,7 +111,7 @@
 			t.Run(size.name(seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					c := play(size, seed)
-					t.Logf("%d requests, refused: %v", len(c.requests), c.refusals())
+					t.Logf("%d requests, refused: %v", len(c.requests), c.refusals(allRequests))
 					if unexpected := c.unexpectedRefusals(); len(unexpected) > 0 {
 						t.Errorf("refused for other reasons than lost responses: %v", unexpected)
 						t.Log("timeline:\n" + c.timeline())
