--- a/router/crash_part_test.go
+++ b/router/crash_part_test.go
@@ -23,7 +23,7 @@
 	maxWaitForCrashes = 5 * time.Second
 
 	// partBegins is when requests with the first part begin, partLasts how long each part's requests come.
-	partBegins = 6 * time.Second
+	partBegins = 7 * time.Second
 	partLasts  = 18 * time.Second
 	// restartPause is the time that killed instances need to start.
 	restartPause = time.Second
@@ -36,6 +36,8 @@
 	route string
 	// parts is the number of parts, which come one after the other.
 	parts int
+	// isFirst is set if the parts are the first of their prompts.
+	isFirst bool
 	// disrupt disrupts the fleet. It runs in its own goroutine.
 	disrupt func(p *crashPlay)
 }
@@ -53,6 +55,7 @@
 var crashScenarios = []crashScenario{
 	{name: "undisturbed", route: "draft", parts: 1},
 	{name: "undisturbed with repeats and resumptions", route: "plan", parts: 1},
+	{name: "the part is the first of its prompts", route: "draft", parts: 1, isFirst: true},
 	{name: "two parts one after the other", route: "draft", parts: 2},
 	{name: "a third of the instances restarts around the fifth crash", route: "draft", parts: 1, disrupt: (*crashPlay).restartThird},
 	{name: "all instances restart after they learned of the part", route: "draft", parts: 1, disrupt: (*crashPlay).restartAllLater},
@@ -128,7 +131,8 @@
 	from := p.start.Add(partBegins)
 	for i := range s.parts {
 		part := &crashingPart{
-			id: fmt.Sprintf("bad%d", i), route: s.route, from: from, until: from.Add(partLasts), crashed: make(chan struct{}),
+			id: fmt.Sprintf("bad%d", i), route: s.route, isFirst: s.isFirst, from: from, until: from.Add(partLasts),
+			crashed: make(chan struct{}),
 		}
 		from = part.until.Add(time.Second)
 		p.ordered, p.parts[part.id] = append(p.ordered, part), part
@@ -197,7 +201,8 @@
 		}
 	}
 	for _, r := range p.requests {
-		related := r.route == part.route && (r.key == 0 || firstPart(r.session) == firstPart(0))
+		sharesFirst := !part.isFirst && r.parts[0] == firstPart(0)
+		related := r.route == part.route && (r.key == 0 || sharesFirst)
 		first := r.attempts[0]
 		switch {
 		case !related || p.crashes(r) || !p.isInTouch(first.instance, first.at) || first.status == http.StatusPaymentRequired:
--- a/router/emulated_crash_test.go
+++ b/router/emulated_crash_test.go
@@ -79,6 +79,8 @@
 // crashingPart is a prompt part that crashes each endpoint that begins to respond to a request with it.
 type crashingPart struct {
 	id, route string
+	// isFirst is set if the part is the first of its prompts. Otherwise it follows a part that other requests share.
+	isFirst bool
 	// from and until bound the time in which callers send requests with the part.
 	from, until time.Time
 	crashes     []time.Time
@@ -405,8 +407,8 @@
 	return c.newRequest(route, session, sessionPart(session)), nil
 }
 
-// crashingRequest returns a request with a crashing part, before or after the session's part. Its caller and first part are
-// the same in all of them.
+// crashingRequest returns a request with a crashing part. Its key and session are those of other requests, and the key is the
+// same in all of them, as the first part is unless it is the crashing one.
 func (c *crashEmulator) crashingRequest(part *crashingPart) *promptRequest {
 	c.mu.Lock()
 	session := c.random.IntN(sessionCount/keyCount/keyCount) * keyCount * keyCount
@@ -415,7 +417,12 @@
 		slices.Reverse(between)
 	}
 	c.mu.Unlock()
-	return c.newRequest(part.route, session, between...)
+	if !part.isFirst {
+		return c.newRequest(part.route, session, between...)
+	}
+	p := c.newRequest(part.route, session, sessionPart(session))
+	p.parts[0] = part.id
+	return p
 }
 
 // runRequest sends a request, repeats it if it brings no event and may be repeated, and resumes its stream if it is cut off.
