--- /dev/null
+++ b/gateway/crash.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"pumiceshelf/placement"
+	"pumiceshelf/quarantine"
+	"pumiceshelf/registry"
+)
+
+const (
+	// crashCheckDelay is the time between a lost connection and the check whether the endpoint has ended. A process that ends
+	// closes its connections and its listener one after the other.
+	crashCheckDelay = 50 * time.Millisecond
+	// maxCrashChecks bounds the checks in progress, each of another endpoint process.
+	maxCrashChecks = 64
+	// maxPartsChecked bounds the parts of lost requests that wait for a check.
+	maxPartsChecked = 256
+)
+
+// crashDetector finds out whether endpoints ended whose connections were lost while requests waited for their first event.
+// An endpoint that resets single connections and one that is cut off have not ended. It is safe for concurrent use.
+type crashDetector struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	checks  []*crashCheck
+}
+
+// crashCheck is the check of one endpoint process, and the requests that were lost there until its end.
+type crashCheck struct {
+	endpoint registry.Endpoint
+	lostAt   time.Time
+	requests [][]string
+	parts    int
+}
+
+// lost records that a request with the prompt parts was lost at an endpoint before its first event.
+func (d *crashDetector) lost(e registry.Endpoint, parts []string) {
+	now := d.gateway.config.Clock.Now()
+	if d.gateway.config.Quarantine.Ended(e, now) {
+		d.gateway.config.Quarantine.Crashed(e, parts, now, now)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := slices.IndexFunc(d.checks, func(c *crashCheck) bool { return c.endpoint.SameProcess(e) })
+	if i < 0 {
+		if len(d.checks) >= maxCrashChecks {
+			return
+		}
+		i = len(d.checks)
+		c := &crashCheck{endpoint: e, lostAt: now}
+		d.checks = append(d.checks, c)
+		time.AfterFunc(crashCheckDelay, func() { d.check(c) })
+	}
+	if c := d.checks[i]; c.parts+len(parts) <= maxPartsChecked {
+		c.requests, c.parts = append(c.requests, parts), c.parts+len(parts)
+	}
+}
+
+// check connects to the endpoint. Only a refused connection shows that the process has ended.
+func (d *crashDetector) check(c *crashCheck) {
+	g := d.gateway
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := g.config.Dial(ctx, "tcp", c.endpoint.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	d.mu.Lock()
+	d.checks = slices.DeleteFunc(d.checks, func(other *crashCheck) bool { return other == c })
+	d.mu.Unlock()
+	logger := g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests)})
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		logger.WithField("connected", err == nil).Info("gateway: endpoint has not ended, although requests were lost before their first event")
+		return
+	}
+	g.metrics.crashes.Inc(1)
+	now := g.config.Clock.Now()
+	for _, parts := range c.requests {
+		g.config.Quarantine.Crashed(c.endpoint, parts, c.lostAt, now)
+	}
+	logger.WithField("parts", distinctParts(c.requests)).Info("gateway: endpoint crashed while requests waited for their first event")
+}
+
+// distinctParts returns the parts of several requests, each once.
+func distinctParts(requests [][]string) []string {
+	out := slices.Concat(requests...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// sharedParts returns the IDs of the prompt parts that other requests may have as well: all but the last one.
+func (m *RequestMeta) sharedParts() []string {
+	if len(m.PromptParts) < 2 {
+		return nil
+	}
+	out := make([]string, len(m.PromptParts)-1)
+	for i := range out {
+		out[i] = m.PromptParts[i].ID
+	}
+	return out
+}
+
+// recordBegun records that an endpoint began to answer the request.
+func (j *job) recordBegun() {
+	j.attemptBegun = true
+	j.gateway.config.Quarantine.Began(j.meta.sharedParts(), j.gateway.config.Clock.Now())
+}
+
+// recordLoss records that the attempt lost its connection before an answer began, if it did.
+func (j *job) recordLoss(ticket *placement.Ticket, f *failure) {
+	lost := f != nil && f.sent && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
+	parts := j.meta.sharedParts()
+	if !lost || j.attemptBegun || len(parts) == 0 || j.ctx.Err() != nil {
+		return
+	}
+	j.gateway.crashes.lost(ticket.Endpoint, parts)
+}
+
+// checkPrompt refuses a request with a prompt part in quarantine.
+func (j *job) checkPrompt() *refusal {
+	if _, quarantined := j.quarantined(); quarantined {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: retryAfterQuarantined}
+	}
+	return nil
+}
+
+// quarantined returns and logs the verdict on the request's prompt, if there is one.
+func (j *job) quarantined() (quarantine.Verdict, bool) {
+	v, ok := j.gateway.config.Quarantine.Quarantined(j.meta.sharedParts(), j.gateway.config.Clock.Now())
+	if ok {
+		j.logger().WithFields(log.Fields{
+			"part": v.Part, "endpoints": v.Endpoints, "last_crash_ms": v.LastCrashAge.Milliseconds(), "remaining_ms": v.Remaining.Milliseconds(),
+		}).Info("gateway: prompt part is in quarantine")
+	}
+	return v, ok
+}
+
+// stopForPrompt returns the failure to end with after a failed attempt if the request must not be sent again because of its
+// prompt: it has a part in quarantine, or it was lost before its first event and has a part under suspicion.
+func (j *job) stopForPrompt(f *failure) *failure {
+	if _, ok := j.quarantined(); ok {
+		return &failure{reason: reasonQuarantined}
+	}
+	lost := !j.attemptBegun && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
+	if !lost || !j.gateway.config.Quarantine.Suspected(j.meta.sharedParts(), j.gateway.config.Clock.Now()) {
+		return nil
+	}
+	j.logger().WithField("reason", string(f.reason)).Info("gateway: request is not sent again, a prompt part may have crashed endpoints")
+	return f
+}
--- /dev/null
+++ b/gateway/crash_test.go
@@ -0,0 +1,111 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// advancingClock is the real clock set forward by the test.
+type advancingClock struct {
+	clockwork.Clock
+	offset atomic.Int64
+}
+
+func (c *advancingClock) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.offset.Load())) }
+
+func (c *advancingClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+func (c *advancingClock) advance(d time.Duration) { c.offset.Add(int64(d)) }
+
+// setClock restarts the gateway with a clock that the test sets forward.
+func (h *harness) setClock() *advancingClock {
+	clock := &advancingClock{Clock: clockwork.NewRealClock()}
+	h.config.Clock = clock
+	h.restart()
+	return clock
+}
+
+// crashOn returns an endpoint that ends when it begins to answer a request whose prompt has the part, and streams a response
+// to any other.
+func crashOn(id, part string) *fakeEndpoint {
+	e := newFakeEndpoint(id, nil)
+	e.handle = func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("X-Prefix-Hash"), part+":") {
+			streamEvents(3, 0)(w, r)
+			return
+		}
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
+	return e
+}
+
+// crash ends the endpoint: it accepts no more connections, and resets those in progress.
+func (e *fakeEndpoint) crash() {
+	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
+}
+
+// sendPrompt sends a request with a prompt of the shared first part, the given part and one of its own.
+func (h *harness) sendPrompt(path, part string, number int) response {
+	return h.send("POST", path, "{}", map[string]string{
+		"X-Request-Id": fmt.Sprintf("id-%s-%d", part, number), "X-Token-Counts": "400,8",
+		"X-Prefix-Hash": fmt.Sprintf("c0:100,%s:200,f%d:100", part, number),
+	})
+}
+
+// awaitLogs waits until the gateway has logged the message so often, or a few seconds.
+func (h *harness) awaitLogs(message string, count int) {
+	for range 3000 {
+		found := 0
+		for _, e := range h.logs.all() {
+			if e.Message == message {
+				found++
+			}
+		}
+		if found >= count {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+const crashLog = "gateway: endpoint crashed while requests waited for their first event"
+
+func TestPromptPartThatCrashesEndpoints(t *testing.T) {
+	Convey("a request with a part under which three endpoints have crashed is not sent, others are", t, func() {
+		var endpoints []*fakeEndpoint
+		for i := range 6 {
+			endpoints = append(endpoints, crashOn(fmt.Sprintf("i-%d", i), "bad"))
+		}
+		h := newHarness(endpoints...)
+		Reset(h.close)
+		clock := h.setClock()
+		So(h.sendPrompt("/note/", "good", 0).status, ShouldEqual, 200)
+		for i := range 3 {
+			So(h.sendPrompt("/note/", "bad", i).status, ShouldEqual, 502)
+			h.awaitLogs(crashLog, i+1)
+			clock.advance(time.Second)
+		}
+		before, reserved := h.requestCount(), h.budgets.reserved.Load()
+		for i := range 5 {
+			refused := h.sendPrompt("/note/", "bad", 10+i)
+			So(refused.status, ShouldEqual, 503)
+			So(refused.body, ShouldContainSubstring, "quarantined-prompt")
+			So(refused.body, ShouldContainSubstring, "not-run")
+			So(refused.header.Get("Retry-After"), ShouldNotBeEmpty)
+		}
+		So(h.requestCount(), ShouldEqual, before)
+		So(h.budgets.reserved.Load(), ShouldEqual, reserved)
+		for i := range 3 {
+			So(h.sendPrompt("/note/", "good", 20+i).status, ShouldEqual, 200)
+		}
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -67,6 +67,9 @@
 		if f.response != nil {
 			j.lastErrorResponse = f
 		}
+		if stop := j.stopForPrompt(f); stop != nil {
+			return j.giveUp(j.preferErrorResponse(*stop))
+		}
 		if !j.mayRetry(f) {
 			return j.giveUp(j.preferErrorResponse(*f))
 		}
@@ -139,7 +142,9 @@
 	clock := j.gateway.config.Clock
 	j.triedEndpoints[ticket.Endpoint.ID] = true
 	j.endpointID = ticket.Endpoint.ID
+	j.attemptBegun = false
 	f := j.exchange(ticket)
+	j.recordLoss(ticket, f)
 	result := placement.Served
 	if f != nil {
 		result = f.result
@@ -201,6 +206,8 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case j.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, reason: f.reason}
+	case f.reason == reasonQuarantined:
+		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterQuarantined}
 	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded, f.reason == reasonRateLimited:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterNoCapacity + f.estimatedWait}
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
+	"pumiceshelf/quarantine"
 	"pumiceshelf/registry"
 	"pumiceshelf/retrybudget"
 	"pumiceshelf/routing"
@@ -41,6 +42,8 @@
 	RetryBudget *retrybudget.Budget
 	// Limits records the request rates that endpoints accept.
 	Limits *endpointlimit.Limits
+	// Quarantine finds prompt parts that crash endpoints. If nil, the gateway has one of its own.
+	Quarantine *quarantine.Tracker
 	// Table returns the active routing table, or nil if no configuration has been applied yet.
 	Table func() *routing.Table
 	// Endpoints returns the endpoints that accept new requests, or nil before the first listing.
@@ -73,6 +76,7 @@
 	config    Config
 	transport *http.Transport
 	metrics   *gatewayMetrics
+	crashes   *crashDetector
 	inflight  atomic.Int64
 	draining  atomic.Bool
 }
@@ -82,7 +86,12 @@
 	if c.Dial == nil {
 		c.Dial = NewDialer().DialContext
 	}
-	return &Gateway{config: c, transport: newTransport(c.Dial), metrics: newGatewayMetrics(c.Metrics)}
+	if c.Quarantine == nil {
+		c.Quarantine = quarantine.New(quarantine.Config{})
+	}
+	g := &Gateway{config: c, transport: newTransport(c.Dial), metrics: newGatewayMetrics(c.Metrics)}
+	g.crashes = &crashDetector{gateway: g}
+	return g
 }
 
 // InFlight returns the number of requests in progress.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -77,6 +77,9 @@
 	eventCount        int64
 	firstEventLatency time.Duration
 
+	// attemptBegun is set once the endpoint of the present attempt began to answer.
+	attemptBegun bool
+
 	endpointID string
 	status     int
 	reason     reason
@@ -88,7 +91,7 @@
 	if await := j.gateway.config.AwaitFreshState; await != nil {
 		await(j.r.Context())
 	}
-	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.findOrigin, j.reserveTokens, j.forward} {
+	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.checkPrompt, j.findOrigin, j.reserveTokens, j.forward} {
 		if r := step(); r != nil {
 			j.refuse(*r)
 			return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,6 +13,7 @@
 	descCompleted         = telemetry.Describe("gateway.answered", "requests", "Requests that got an endpoint's whole answer.")
 	descAttempts          = telemetry.Describe("gateway.attempts", "requests", "Requests sent to endpoints, repeats included.")
 	descLimited           = telemetry.Describe("gateway.attempts.limited", "requests", "Requests sent to endpoints that limit their request rate.")
+	descCrashes           = telemetry.Describe("gateway.endpoint_crashes", "crashes", "Endpoint processes found to have ended while requests waited for their first event.")
 	descTotalLatency      = telemetry.Describe("gateway.latency.total", "nanoseconds", "Time to the end of an endpoint's whole answer.")
 	descFirstEventLatency = telemetry.Describe("gateway.latency.first_event", "nanoseconds", "Time to the first event of a stream.")
 )
@@ -23,7 +24,7 @@
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy,
 	reasonRateLimited, reasonOriginUnknown, reasonVersionUnavailable,
 	reasonUnreachable, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
-	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected,
+	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected, reasonQuarantined,
 }
 
 var descEnded, descRetried = describeReasons()
@@ -39,7 +40,7 @@
 
 type gatewayMetrics struct {
 	requests, completed, attempts   metrics.Counter
-	limited                         metrics.Counter
+	limited, crashes                metrics.Counter
 	totalLatency, firstEventLatency metrics.Timer
 	ended, retried                  map[reason]metrics.Counter
 }
@@ -47,6 +48,7 @@
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
 	m := &gatewayMetrics{
 		requests: descRequests.Counter(r), completed: descCompleted.Counter(r), attempts: descAttempts.Counter(r), limited: descLimited.Counter(r),
+		crashes:      descCrashes.Counter(r),
 		totalLatency: descTotalLatency.Timer(r), firstEventLatency: descFirstEventLatency.Timer(r),
 		ended: make(map[reason]metrics.Counter), retried: make(map[reason]metrics.Counter),
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pumiceshelf/quarantine"
 )
 
 // reason is why a request was refused, retried or ended without a complete response. It appears in logs, metric names
@@ -37,6 +39,7 @@
 	reasonCallerCanceled     reason = "caller-left"
 	reasonEndpointFailed     reason = "endpoint-failed"
 	reasonMisdirected        reason = "endpoint-moved"
+	reasonQuarantined        reason = "quarantined-prompt"
 )
 
 // refusal is an error response that this instance generates itself.
@@ -57,6 +60,9 @@
 	// retryAfterOutage applies to requests that need the object store while it is unavailable. Outages last for
 	// seconds, and a caller that retries during one is refused again.
 	retryAfterOutage = 2 * time.Second
+	// retryAfterQuarantined applies to requests with a prompt part in quarantine. It lasts at least so long after each of them,
+	// which is usually longer than callers wait.
+	retryAfterQuarantined = quarantine.QuietPeriod
 )
 
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,6 +34,9 @@
 	if response.status >= http.StatusInternalServerError {
 		return &failure{reason: reasonEndpointFailed, result: placement.Errored, mayHaveRun: true, sent: true, response: &response}
 	}
+	if response.status/100 == 2 {
+		j.recordBegun()
+	}
 	j.sendResponse(response)
 	return nil
 }
@@ -79,6 +82,9 @@
 			j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.eventCount}).WithError(err).Info("gateway: stream is truncated or invalid")
 			return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 		}
+		if !j.attemptBegun {
+			j.recordBegun()
+		}
 		if ev.hasID && resumed && ev.id <= j.lastEventID {
 			continue
 		}
--- /dev/null
+++ b/members/evidence.go
@@ -0,0 +1,212 @@
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"pumiceshelf/api"
+	"pumiceshelf/quarantine"
+	"pumiceshelf/registry"
+)
+
+const (
+	// evidenceInterval is the longest time between two exchanges of evidence, each with one other instance. They happen also
+	// without evidence: an instance that has started or was frozen or cut off learns of it, and one that is cut off notices.
+	evidenceInterval = time.Second
+	// evidenceJitter is the part of it that is random.
+	evidenceJitter = 200 * time.Millisecond
+	// firstEvidenceInterval is the time between attempts until the first one succeeded, maxFirstAttempts their number.
+	firstEvidenceInterval = 200 * time.Millisecond
+	maxFirstAttempts      = 15
+	// evidencePeersTried bounds the instances that are tried in one exchange until one responds.
+	evidencePeersTried = 2
+	// skipUnresponsive is how long an instance gets no pushes after one that failed. It asks others.
+	skipUnresponsive = 2 * time.Second
+	// pushInterval is the minimum time between two pushes of own evidence to all instances. maxEvidencePushes bounds the calls
+	// in progress.
+	pushInterval      = 150 * time.Millisecond
+	maxEvidencePushes = 32
+	// contactTimeout is how long after the last contact with another instance this one counts as isolated.
+	contactTimeout = 1200 * time.Millisecond
+)
+
+// evidenceContact tells whether this instance exchanges evidence with others, in either direction. It is safe for concurrent
+// use.
+type evidenceContact struct {
+	last atomic.Pointer[time.Time]
+	// failed is set if no instance responded to the last exchange.
+	failed atomic.Bool
+	// unresponsive holds the instances to which a push failed.
+	unresponsive unresponsiveSet
+}
+
+func (c *evidenceContact) record(now time.Time) { c.last.Store(&now) }
+
+// lost reports whether there was no contact lately.
+func (c *evidenceContact) lost(now time.Time) bool {
+	last := c.last.Load()
+	return c.failed.Load() && (last == nil || now.Sub(*last) > contactTimeout)
+}
+
+// RunExchangingEvidence exchanges evidence with a random instance about once a second until the context ends.
+func (m *Members) RunExchangingEvidence(ctx context.Context) error {
+	interval, attempts := time.Duration(0), 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.config.Clock.After(interval):
+		}
+		attempts++
+		m.contact.failed.Store(!m.exchangeEvidence(ctx))
+		interval = evidenceInterval - rand.N(evidenceJitter)
+		if m.contact.last.Load() == nil && attempts < maxFirstAttempts {
+			interval = firstEvidenceInterval
+		}
+	}
+}
+
+// exchangeEvidence exchanges all evidence with one other instance. It returns false if none responded.
+func (m *Members) exchangeEvidence(ctx context.Context) bool {
+	addresses := m.roster.Load().sample()
+	for _, address := range addresses[:min(len(addresses), evidencePeersTried)] {
+		state := m.config.Quarantine.Statements(m.config.Clock.Now())
+		if m.sendEvidence(ctx, address, encodeEvidence(state)) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendEvidence passes evidence on to an instance and merges its reply. It returns false if there was none.
+func (m *Members) sendEvidence(ctx context.Context, address string, request *api.QuarantineEvidence) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn := m.pool.Get(ctx, address, m.dialPeer)
+	defer conn.Close()
+	reply, err := api.NewDRPCFleetClient(conn).ExchangeEvidence(ctx, request)
+	if err != nil {
+		m.config.Log.WithField("address", address).WithError(err).Info("members: exchange of evidence failed")
+		return false
+	}
+	now := m.config.Clock.Now()
+	m.contact.record(now)
+	m.config.Quarantine.Merge(decodeEvidence(reply), now)
+	return true
+}
+
+// RunPushingEvidence passes own evidence on to all other instances as soon as there is some, until the context ends.
+func (m *Members) RunPushingEvidence(ctx context.Context) error {
+	for {
+		timer, stop := m.untilJudged()
+		select {
+		case <-ctx.Done():
+			stop()
+			return nil
+		case <-m.config.Quarantine.Wake():
+		case <-timer:
+		}
+		stop()
+		m.config.Quarantine.Judge(m.config.Clock.Now())
+		m.pushEvidence(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.config.Clock.After(pushInterval):
+		}
+	}
+}
+
+// untilJudged returns a channel that receives when there is evidence to judge, and a function that releases it.
+func (m *Members) untilJudged() (<-chan time.Time, func()) {
+	wait, ok := m.config.Quarantine.UntilJudged(m.config.Clock.Now())
+	if !ok {
+		return nil, func() {}
+	}
+	timer := m.config.Clock.NewTimer(max(wait, 0))
+	return timer.Chan(), func() { timer.Stop() }
+}
+
+// pushEvidence passes news on to all other instances. Their replies tell what they know of the parts.
+func (m *Members) pushEvidence(ctx context.Context) {
+	news := m.config.Quarantine.News(m.config.Clock.Now())
+	if len(news.Crashes) == 0 && len(news.Quarantined) == 0 && len(news.Begun) == 0 {
+		return
+	}
+	request := encodeEvidence(news)
+	request.OnlyNamed = true
+	slots := make(chan struct{}, maxEvidencePushes)
+	var calls sync.WaitGroup
+	for _, member := range m.roster.Load().others {
+		if m.contact.unresponsive.contains(member.PeerAddress, m.config.Clock.Now()) {
+			continue
+		}
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			if !m.sendEvidence(ctx, member.PeerAddress, request) {
+				m.contact.unresponsive.add(member.PeerAddress, m.config.Clock.Now().Add(skipUnresponsive))
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// ExchangeEvidence implements the Fleet service.
+func (m *Members) ExchangeEvidence(_ context.Context, request *api.QuarantineEvidence) (*api.QuarantineEvidence, error) {
+	now := m.config.Clock.Now()
+	m.contact.record(now)
+	state := decodeEvidence(request)
+	reply := m.config.Quarantine.Reply(state, now, request.OnlyNamed)
+	m.config.Quarantine.Merge(state, now)
+	return encodeEvidence(reply), nil
+}
+
+func encodeEvidence(s quarantine.State) *api.QuarantineEvidence {
+	out := &api.QuarantineEvidence{}
+	for _, c := range s.Crashes {
+		out.Crashes = append(out.Crashes, &api.EndpointCrash{
+			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service, Address: c.Endpoint.Address, StartedUnixMs: c.Endpoint.StartedUnixMilli,
+			SoftwareVersion: c.Endpoint.SoftwareVersion, Age: durationpb.New(c.Age), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+		})
+	}
+	for _, b := range s.Begun {
+		out.Begun = append(out.Begun, &api.BegunPart{Part: b.Part, Age: durationpb.New(b.Age)})
+	}
+	for _, q := range s.Quarantined {
+		out.Quarantined = append(out.Quarantined, &api.QuarantinedPart{
+			Part: q.Part, Remaining: durationpb.New(q.Remaining), LastRequestAge: durationpb.New(q.LastRequestAge),
+			LastCrashAge: durationpb.New(q.LastCrashAge), Endpoints: q.Endpoints, Stored: q.Stored,
+		})
+	}
+	return out
+}
+
+func decodeEvidence(e *api.QuarantineEvidence) quarantine.State {
+	var out quarantine.State
+	for _, c := range e.GetCrashes() {
+		out.Crashes = append(out.Crashes, quarantine.Crash{
+			Endpoint: registry.Endpoint{
+				ID: c.Endpoint, Service: c.Service, Address: c.Address, StartedUnixMilli: c.StartedUnixMs, SoftwareVersion: c.SoftwareVersion,
+			},
+			Age: c.Age.AsDuration(), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+		})
+	}
+	for _, b := range e.GetBegun() {
+		out.Begun = append(out.Begun, quarantine.Begun{Part: b.Part, Age: b.Age.AsDuration()})
+	}
+	for _, q := range e.GetQuarantined() {
+		out.Quarantined = append(out.Quarantined, quarantine.Quarantined{
+			Verdict: quarantine.Verdict{
+				Part: q.Part, Endpoints: q.Endpoints, LastCrashAge: q.LastCrashAge.AsDuration(), Remaining: q.Remaining.AsDuration(),
+			},
+			LastRequestAge: q.LastRequestAge.AsDuration(), Stored: q.Stored,
+		})
+	}
+	return out
+}
--- a/members/members.go
+++ b/members/members.go
@@ -1,7 +1,7 @@
 // Package members lets instances discover each other through the object store. While the store is unavailable to some of
-// them, they request newer configuration, endpoints and tokens from each other. They also pass on the limits of endpoints
-// and the origins of streams. No guarantee depends on the list of members: it only provides addresses for requests and the instances among which limits
-// are divided.
+// them, they request newer configuration, endpoints and tokens from each other. They also pass on the limits of endpoints,
+// the origins of streams, and evidence about prompt parts that crash endpoints. No guarantee depends on the list of members:
+// it only provides addresses for requests and the instances among which limits are divided.
 package members
 
 import (
@@ -27,6 +27,7 @@
 	"pumiceshelf/objectstore"
 	"pumiceshelf/origin"
 	"pumiceshelf/prepaid"
+	"pumiceshelf/quarantine"
 )
 
 const (
@@ -70,6 +71,8 @@
 	Abandon func(borrower instance.Incarnation, sequences []uint64)
 	// Limits holds the endpoint limits that this instance exchanges with others.
 	Limits *endpointlimit.Limits
+	// Quarantine holds the evidence about prompt parts that this instance exchanges with others.
+	Quarantine *quarantine.Tracker
 	// Origins holds the origins of streams that this instance keeps, for itself and for others.
 	Origins *origin.Store
 	// Versions returns the software versions that a service had lately, and whether they cover a time that is longer than any
@@ -86,6 +89,7 @@
 	pool         *drpcpool.Pool[string, drpcpool.Conn]
 	unresponsive unresponsiveSet
 	unanswered   unansweredRequests
+	contact      evidenceContact
 	originQueue  chan origin.Origin
 	lendSequence atomic.Uint64
 	// hasListed is set after the first successful listing.
--- /dev/null
+++ b/quarantine/judge.go
@@ -0,0 +1,294 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// suspicion is the evidence against one part.
+type suspicion struct {
+	part string
+	// crashes is the number of separate crashes that count against the part, and entries holds all of them.
+	crashes int
+	entries []*crash
+	// share is set if the part is in enough of the crashes since its first one.
+	share bool
+	// begun is set if an answer with the part ever began.
+	begun bool
+	// complete is set once other instances had time to say what they know of the part.
+	complete bool
+	// former is set if the part was in quarantine before.
+	former bool
+}
+
+// Judge puts parts in quarantine and ends quarantines. Requests do the same on their way, so it is only needed for verdicts to
+// be passed on without them.
+func (t *Tracker) Judge(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(now)
+}
+
+// UntilJudged returns how long to wait until evidence will be complete, or false if there is none to wait for.
+func (t *Tracker) UntilJudged(now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.judgeAt.Sub(now), !t.judgeAt.IsZero()
+}
+
+func (t *Tracker) scheduleJudge(at time.Time) {
+	if t.judgeAt.IsZero() || at.Before(t.judgeAt) {
+		t.judgeAt = at
+	}
+}
+
+func (t *Tracker) judge(now time.Time) {
+	t.endVerdicts(now)
+	if t.judgeAt.IsZero() || now.Before(t.judgeAt) {
+		return
+	}
+	t.judgeAt = time.Time{}
+	t.forget(now)
+	t.explain()
+	for {
+		convicted := t.convictable(now)
+		if len(convicted) == 0 {
+			break
+		}
+		for _, s := range convicted {
+			t.convict(s, now)
+		}
+		t.explain()
+	}
+	for _, c := range t.crashes {
+		for _, s := range c.parts {
+			wait := relayPeriod
+			if s.own {
+				wait = replyPeriod
+			}
+			if due := s.knownAt.Add(wait); due.After(now) && c.explainedBy == "" {
+				t.scheduleJudge(due)
+			}
+		}
+		t.scheduleJudge(c.at.Add(evidenceMemory + time.Second))
+	}
+}
+
+// forget drops what is too old to count.
+func (t *Tracker) forget(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) > evidenceMemory })
+	for part, until := range t.former {
+		if now.After(until) {
+			delete(t.former, part)
+		}
+	}
+	t.inUse.Store(len(t.crashes) > 0 || len(t.verdicts) > 0 || t.storedWithdrawn)
+}
+
+// endVerdicts ends the quarantines that are over.
+func (t *Tracker) endVerdicts(now time.Time) {
+	for part, v := range t.verdicts {
+		reason := ""
+		switch {
+		case t.begunAt(part).After(v.lastCrash):
+			reason = EndedBegun
+		case now.Sub(v.lastRequest) > QuietPeriod:
+			reason = EndedQuiet
+		case now.After(v.until):
+			reason = EndedExpired
+		default:
+			continue
+		}
+		delete(t.verdicts, part)
+		if reason == EndedBegun {
+			// The crashes have another cause.
+			for _, c := range t.crashes {
+				if c.explainedBy == part {
+					c.explainedBy = ""
+				}
+			}
+			t.scheduleJudge(now)
+			if v.withdraws && len(t.withdrawn) < maxVerdicts {
+				t.withdrawn, t.storedWithdrawn = append(t.withdrawn, part), t.storedWithdrawn || v.stored
+				t.signal()
+			}
+		} else if len(t.former) < maxFormer {
+			t.former[part] = now.Add(formerMemory)
+		}
+		t.changed(Change{Verdict: v.export(part, now), Ended: reason})
+	}
+}
+
+// suspicions returns the evidence against each part, strongest first.
+func (t *Tracker) suspicions(now time.Time) []suspicion {
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	var groupStart time.Time
+	groups := 0
+	byPart := make(map[string]*suspicion)
+	lastGroup, firstGroup := make(map[string]int), make(map[string]int)
+	for _, c := range t.crashes {
+		if c.explainedBy != "" || now.Sub(c.at) > evidenceMemory || !t.hasSuspect(c) {
+			continue
+		}
+		if groups == 0 || c.at.Sub(groupStart) > groupPeriod {
+			groups++
+			groupStart = c.at
+		}
+		for part, member := range c.parts {
+			if !t.counts(c, part) {
+				continue
+			}
+			s := byPart[part]
+			if s == nil {
+				s = &suspicion{part: part, begun: !t.begunAt(part).IsZero(), former: now.Before(t.former[part])}
+				byPart[part], firstGroup[part] = s, groups
+			}
+			if lastGroup[part] != groups {
+				lastGroup[part] = groups
+				s.crashes++
+			}
+			s.entries = append(s.entries, c)
+			s.complete = s.complete || member.own && now.Sub(member.knownAt) >= replyPeriod
+		}
+	}
+	var out []suspicion
+	for part, s := range byPart {
+		s.share = s.crashes*minCrashShare >= groups-firstGroup[part]+1
+		s.complete = s.complete || s.relayed(now)
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b suspicion) int { return b.crashes - a.crashes })
+	return out
+}
+
+// hasSuspect reports whether a crash counts against some part.
+func (t *Tracker) hasSuspect(c *crash) bool {
+	for part := range c.parts {
+		if t.counts(c, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// counts reports whether a crash counts against one of its parts: no answer with the part began since. The first part of a
+// prompt does not count if an answer with it ever began. It is shared by so many requests that answers begin whenever an
+// endpoint is sound, and a verdict on it would refuse most requests of a service.
+func (t *Tracker) counts(c *crash, part string) bool {
+	begun := t.begunAt(part)
+	return c.at.After(begun) && !(c.parts[part].first && !begun.IsZero())
+}
+
+// relayed reports whether enough of the crashes are known for long enough to judge them without an own observation.
+func (s *suspicion) relayed(now time.Time) bool {
+	known := 0
+	for _, c := range s.entries {
+		if now.Sub(c.parts[s.part].knownAt) >= relayPeriod {
+			known++
+		}
+	}
+	return known >= s.threshold()
+}
+
+// threshold returns the number of crashes that convict the part.
+func (s *suspicion) threshold() int {
+	switch {
+	case s.former:
+		return 1
+	case s.begun:
+		return minCrashesBegun
+	}
+	return minCrashes
+}
+
+// eligible reports whether the evidence against a part is sufficient, apart from that against others.
+func (s *suspicion) eligible() bool { return s.crashes >= s.threshold() && s.share && s.complete }
+
+// convictable returns the parts to put in quarantine next. Parts with which no answer ever began come first, because an answer
+// shows that endpoints survived the other ones.
+func (t *Tracker) convictable(now time.Time) []suspicion {
+	var never, begun []suspicion
+	for _, s := range t.suspicions(now) {
+		switch {
+		case s.former && s.eligible():
+			return []suspicion{s}
+		case s.begun:
+			begun = append(begun, s)
+		default:
+			never = append(never, s)
+		}
+	}
+	if out := strongest(never); len(out) > 0 {
+		return out
+	}
+	return strongest(begun)
+}
+
+// strongest returns the parts with the most evidence if it convicts them. If there are several, each of them may be the cause,
+// and another crash is needed to tell them apart.
+func strongest(list []suspicion) []suspicion {
+	var tied []suspicion
+	for _, s := range list {
+		if s.crashes == list[0].crashes && s.share {
+			tied = append(tied, s)
+		}
+	}
+	if len(tied) == 0 || len(tied) > maxTied || len(tied) > 1 && tied[0].crashes <= tied[0].threshold() {
+		return nil
+	}
+	if slices.ContainsFunc(tied, func(s suspicion) bool { return !s.eligible() }) {
+		return nil
+	}
+	return tied
+}
+
+// convict puts a part in quarantine.
+func (t *Tracker) convict(s suspicion, now time.Time) {
+	v := &verdict{lastRequest: now, until: now.Add(maxDuration), unsent: true, withdraws: true, storeAfter: now}
+	if s.begun {
+		v.until = now.Add(maxDurationBegun)
+	}
+	for _, c := range s.entries {
+		v.lastCrash = c.at
+		v.endpoints = append(v.endpoints, c.endpoint.ID)
+	}
+	v.endpoints = v.endpoints[max(0, len(v.endpoints)-maxEndpointsKept):]
+	t.setVerdict(s.part, v)
+	t.changed(Change{Verdict: v.export(s.part, now)})
+	t.signal()
+}
+
+func (t *Tracker) setVerdict(part string, v *verdict) {
+	if len(t.verdicts) >= maxVerdicts {
+		oldest := ""
+		for p, other := range t.verdicts {
+			if oldest == "" || other.lastRequest.Before(t.verdicts[oldest].lastRequest) {
+				oldest = p
+			}
+		}
+		delete(t.verdicts, oldest)
+	}
+	delete(t.former, part)
+	t.verdicts[part] = v
+	t.inUse.Store(true)
+}
+
+// explain attributes crashes to the parts in quarantine that were lost with them. A later crash is evidence of the verdict.
+func (t *Tracker) explain() {
+	for _, c := range t.crashes {
+		for part := range c.parts {
+			if v := t.verdicts[part]; v != nil && c.at.After(t.begunAt(part)) {
+				c.explainedBy = part
+				if c.at.After(v.lastCrash) {
+					v.lastCrash = c.at
+				}
+			}
+		}
+	}
+}
+
+func (t *Tracker) changed(c Change) {
+	if t.config.OnChange != nil {
+		t.config.OnChange(c)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -28,6 +28,7 @@
 	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
+	"pumiceshelf/quarantine"
 	"pumiceshelf/registry"
 	"pumiceshelf/retrybudget"
 	"pumiceshelf/routing"
@@ -45,6 +46,8 @@
 	// readHeaderTimeout and idleTimeout limit slow and idle callers. Both exceed the limits set in configurations.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
+	// evidenceTakeoverSpread is the time for each instance over which writes of evidence to the store are spread.
+	evidenceTakeoverSpread = 100 * time.Millisecond
 	// maxHeaderBytes limits the size of a caller's request header.
 	maxHeaderBytes = 64 << 10
 )
@@ -95,6 +98,7 @@
 	gateway               *gateway.Gateway
 	chooser               *placement.Chooser
 	limits                *endpointlimit.Limits
+	quarantine            *quarantine.Tracker
 	versions              *registry.VersionHistory
 	// endpointsConfirmedAt is when the store last confirmed the endpoints.
 	endpointsConfirmedAt atomic.Pointer[time.Time]
@@ -116,6 +120,7 @@
 		Self: c.Settings.Name, Instances: func() []string { return r.members.Names() }, OnChange: r.logLimitChange,
 	})
 	r.chooser = placement.New(r.limits)
+	r.quarantine = quarantine.New(quarantine.Config{OnChange: r.logQuarantine, TakeoverDelay: r.evidenceTakeoverDelay})
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
@@ -124,7 +129,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return c.Dial(ctx, "tcp", address)
 		},
-		Clock: c.Clock, Log: c.Log, Limits: r.limits, Origins: origin.NewStore(), Versions: r.softwareVersions,
+		Clock: c.Clock, Log: c.Log, Limits: r.limits, Quarantine: r.quarantine, Origins: origin.NewStore(), Versions: r.softwareVersions,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
 		Endpoints:     func() *objectstore.Listing { return r.endpointFollower.Snapshot() },
 		Lend: func(ctx context.Context, id prepaid.TransferID, customer string, tokens int64) int64 {
@@ -151,7 +156,7 @@
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
-		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Origins: r.members,
+		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Quarantine: r.quarantine, Origins: r.members,
 		EndpointsAge: r.endpointsAge, Versions: r.softwareVersions,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
 		AwaitFreshState: r.freezeGuard.Wait, Dial: c.Dial, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
@@ -195,6 +200,25 @@
 	r.config.Log.WithFields(fields).WithField("limit_per_s", c.Rate).Info("router: endpoint limits its request rate")
 }
 
+// logQuarantine logs the begin or the end of a quarantine with the evidence.
+func (r *Router) logQuarantine(c quarantine.Change) {
+	logger := r.config.Log.WithFields(log.Fields{
+		"part": c.Part, "endpoints": c.Endpoints, "last_crash_ms": c.LastCrashAge.Milliseconds(), "remaining_ms": c.Remaining.Milliseconds(),
+		"from_instance": c.FromInstance,
+	})
+	if c.Ended != "" {
+		logger.WithField("reason", c.Ended).Info("router: quarantine of a prompt part ended")
+		return
+	}
+	logger.Warn("router: prompt part put in quarantine, endpoints crashed while requests with it waited")
+}
+
+// evidenceTakeoverDelay returns a random delay before this instance writes evidence of others to the store. It grows with the
+// number of instances, so that few of them write at the same time.
+func (r *Router) evidenceTakeoverDelay() time.Duration {
+	return rand.N(time.Duration(r.members.Count()) * evidenceTakeoverSpread)
+}
+
 // prepaidTotal returns the customer's prepaid total in the active configuration, or false if it has none.
 func (r *Router) prepaidTotal(customer string) (int64, bool) {
 	t := r.table.Load()
@@ -262,6 +286,9 @@
 	group.Go(func() error { return r.members.RunAbandoning(background) })
 	group.Go(func() error { return r.members.RunExchangingLimits(background) })
 	group.Go(func() error { return r.members.RunPassingOrigins(background) })
+	group.Go(func() error { return r.members.RunExchangingEvidence(background) })
+	group.Go(func() error { return r.members.RunPushingEvidence(background) })
+	group.Go(func() error { return r.members.RunStoringEvidence(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
 	group.Go(func() error { return serve(r.callerServer, listeners.caller) })
 	group.Go(func() error { return serve(r.readyServer, listeners.ready) })
