--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,6 +24,9 @@
 	maxCrashChecks = 64
 	// maxPartsChecked bounds the parts of lost requests that wait for a check.
 	maxPartsChecked = 256
+	// maxSharedParts and maxPartBytes bound the parts of a request that are considered.
+	maxSharedParts = 64
+	maxPartBytes   = 128
 )
 
 // crashDetector finds out whether endpoints ended whose connections were lost while requests waited for their first event.
@@ -103,9 +106,12 @@
 	if len(m.PromptParts) < 2 {
 		return nil
 	}
-	out := make([]string, len(m.PromptParts)-1)
-	for i := range out {
-		out[i] = m.PromptParts[i].ID
+	parts := m.PromptParts[:min(len(m.PromptParts)-1, maxSharedParts)]
+	out := make([]string, 0, len(parts))
+	for _, p := range parts {
+		if len(p.ID) <= maxPartBytes {
+			out = append(out, p.ID)
+		}
 	}
 	return out
 }
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -8,15 +8,15 @@
 // suspicion is the evidence against one part.
 type suspicion struct {
 	part string
-	// crashes is the number of separate crashes that count against the part, and entries holds all of them.
-	crashes int
+	// crashes is the number of separate crashes that count against the part, and settled the number of those up to the last
+	// one after which other instances had time to say what they know of the part.
+	crashes, settled int
+	// entries holds the crashes in order.
 	entries []*crash
 	// share is set if the part is in enough of the crashes since its first one.
 	share bool
 	// begun is set if an answer with the part ever began.
 	begun bool
-	// complete is set once other instances had time to say what they know of the part.
-	complete bool
 	// former is set if the part was in quarantine before.
 	former bool
 }
@@ -62,11 +62,7 @@
 	}
 	for _, c := range t.crashes {
 		for _, s := range c.parts {
-			wait := relayPeriod
-			if s.own {
-				wait = replyPeriod
-			}
-			if due := s.knownAt.Add(wait); due.After(now) && c.explainedBy == "" {
+			if due := s.settlesAt(); due.After(now) && c.explainedBy == "" {
 				t.scheduleJudge(due)
 			}
 		}
@@ -148,13 +144,14 @@
 				s.crashes++
 			}
 			s.entries = append(s.entries, c)
-			s.complete = s.complete || member.own && now.Sub(member.knownAt) >= replyPeriod
+			if !now.Before(member.settlesAt()) {
+				s.settled = s.crashes
+			}
 		}
 	}
 	var out []suspicion
 	for part, s := range byPart {
 		s.share = s.crashes*minCrashShare >= groups-firstGroup[part]+1
-		s.complete = s.complete || s.relayed(now)
 		out = append(out, *s)
 	}
 	slices.SortFunc(out, func(a, b suspicion) int { return b.crashes - a.crashes })
@@ -179,15 +176,12 @@
 	return c.at.After(begun) && !(c.parts[part].first && !begun.IsZero())
 }
 
-// relayed reports whether enough of the crashes are known for long enough to judge them without an own observation.
-func (s *suspicion) relayed(now time.Time) bool {
-	known := 0
-	for _, c := range s.entries {
-		if now.Sub(c.parts[s.part].knownAt) >= relayPeriod {
-			known++
-		}
+// settlesAt returns when other instances have had time to say what they know of the part.
+func (s *suspect) settlesAt() time.Time {
+	if s.own {
+		return s.knownAt.Add(replyPeriod)
 	}
-	return known >= s.threshold()
+	return s.knownAt.Add(relayPeriod)
 }
 
 // threshold returns the number of crashes that convict the part.
@@ -201,8 +195,9 @@
 	return minCrashes
 }
 
-// eligible reports whether the evidence against a part is sufficient, apart from that against others.
-func (s *suspicion) eligible() bool { return s.crashes >= s.threshold() && s.share && s.complete }
+// convicts reports whether the evidence against a part is sufficient, apart from that against others, if a number of further
+// crashes is needed.
+func (s *suspicion) convicts(further int) bool { return s.settled >= s.threshold()+further && s.share }
 
 // convictable returns the parts to put in quarantine next. Parts with which no answer ever began come first, because an answer
 // shows that endpoints survived the other ones.
@@ -210,7 +205,7 @@
 	var never, begun []suspicion
 	for _, s := range t.suspicions(now) {
 		switch {
-		case s.former && s.eligible():
+		case s.former && s.convicts(0):
 			return []suspicion{s}
 		case s.begun:
 			begun = append(begun, s)
@@ -233,10 +228,15 @@
 			tied = append(tied, s)
 		}
 	}
-	if len(tied) == 0 || len(tied) > maxTied || len(tied) > 1 && tied[0].crashes <= tied[0].threshold() {
-		return nil
+	further := 0
+	if len(tied) > 1 {
+		further = 1
+	}
+	if len(tied) > fewTied {
+		further = 2
 	}
-	if slices.ContainsFunc(tied, func(s suspicion) bool { return !s.eligible() }) {
+	// If only some were convicted, they would explain the crashes that the others cause.
+	if slices.ContainsFunc(tied, func(s suspicion) bool { return !s.convicts(further) }) {
 		return nil
 	}
 	return tied
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -6,7 +6,7 @@
 // exchanges them with other instances, and puts a part in quarantine when
 //   - endpoints crashed at three separate times while requests with the part waited, and no answer with it began since, or at
 //     five such times if an answer with it ever began, and
-//   - no other part has as much evidence; parts that are always lost together need one more crash, and
+//   - no other part has as much evidence; parts that are always lost together need one more crash, many of them two more, and
 //   - the part is in a third of the crashes since its first one, so that a long series of other crashes convicts nobody.
 //
 // Endpoints that crash within a short time of each other, like those of a rack, count as one crash. Crashes with a part in
@@ -19,6 +19,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +36,9 @@
 	minCrashesBegun = 5
 	// minSuspicion is the number of crashes from which a lost request with the part is not sent again.
 	minSuspicion = 2
-	// maxTied is the number of parts with the same evidence that are convicted together. It is about the number of parts that
-	// always occur together in prompts.
-	maxTied = 4
+	// fewTied is the number of parts with the same evidence that one more crash convicts together, about the number of parts
+	// that always occur together in prompts. More of them need two more.
+	fewTied = 8
 	// minCrashShare is the inverse of the share of crashes that a part must be in.
 	minCrashShare = 3
 	// replyPeriod is how long after an own observation a verdict waits for other instances to say what they know of the parts.
@@ -46,8 +47,10 @@
 	relayPeriod = 2 * time.Second
 	// evidenceMemory is how long a crash counts.
 	evidenceMemory = 2 * time.Minute
-	// sameCrashPeriod is the time within which reports about one process are about the same crash.
-	sameCrashPeriod = 3 * time.Second
+	// sameCrashPeriod is the time within which reports about a process are about the same crash if its start is not known, so
+	// that it may have started again. endedPeriod is how long it is certain that it has not.
+	sameCrashPeriod = 10 * time.Second
+	endedPeriod     = 3 * time.Second
 	// QuietPeriod is how long after the last request with the part a quarantine ends.
 	QuietPeriod = time.Minute
 	// maxDuration and maxDurationBegun bound a quarantine while requests keep coming, without and with an answer that began
@@ -199,9 +202,14 @@
 	if len(t.begun) >= begunGeneration {
 		t.begun, t.begunBefore = make(map[string]time.Time, begunGeneration), t.begun
 	}
-	if known := t.begunAt(part); known.After(at) {
+	known := t.begunAt(part)
+	if known.After(at) {
 		at = known
 	}
+	if _, ok := t.begun[part]; !ok {
+		// The part may be a piece of a whole header.
+		part = strings.Clone(part)
+	}
 	t.begun[part] = at
 	delete(t.former, part)
 }
@@ -234,7 +242,7 @@
 // crashOf returns the record of a crash, which it adds if it is new.
 func (t *Tracker) crashOf(e registry.Endpoint, at time.Time) *crash {
 	for _, c := range t.crashes {
-		if c.endpoint.SameProcess(e) && at.Sub(c.at).Abs() < sameCrashPeriod {
+		if c.endpoint.SameProcess(e) && (e.StartedUnixMilli != 0 || at.Sub(c.at).Abs() < sameCrashPeriod) {
 			if at.Before(c.at) {
 				c.at = at
 			}
@@ -256,7 +264,7 @@
 	known := c.parts[part]
 	if known == nil {
 		if len(c.parts) < maxPartsPerCrash {
-			c.parts[part] = &s
+			c.parts[strings.Clone(part)] = &s
 		}
 		return
 	}
@@ -270,7 +278,7 @@
 func (t *Tracker) Ended(e registry.Endpoint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.endpoint.SameProcess(e) && now.Sub(c.at) < sameCrashPeriod })
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.endpoint.SameProcess(e) && now.Sub(c.at) < endedPeriod })
 }
 
 // Quarantined returns the verdict on the first of the parts that is in quarantine. A request with the part extends it.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -147,6 +147,18 @@
 		f.crashAndWait(1, prompt("a", "b"))
 		So(f.convictedBy("a")+f.convictedBy("b"), ShouldEqual, 4)
 	})
+	Convey("the guilty one of many parts that are always lost together is refused after five crashes", t, func() {
+		f := newFleet(2)
+		f.trackers[0].Began(prompt("other"), f.now)
+		f.now = f.now.Add(time.Second)
+		together := prompt("a", "b", "c", "d", "e", "f", "g", "h", "i", "bad")
+		for range 4 {
+			f.crashAndWait(0, together)
+		}
+		So(f.convictedBy("bad"), ShouldEqual, 0)
+		f.crashAndWait(1, together)
+		So(f.convictedBy("bad"), ShouldEqual, 2)
+	})
 	Convey("crashes that a part in quarantine explains do not count against the parts lost with it", t, func() {
 		f := newFleet(2)
 		f.trackers[0].Began(prompt("other"), f.now)
