--- a/members/evidence_store.go
+++ b/members/evidence_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -19,6 +20,8 @@
 	EvidenceKey = "pumiceshelf-quarantine/evidence"
 	// storeInterval is the time between two calls to the store for evidence. Usually there are none after the first.
 	storeInterval = time.Second
+	// maxWritePause bounds the pause after writes that failed. It doubles with each, because all instances have the evidence.
+	maxWritePause = 8 * time.Second
 	// maxEvidenceWrites bounds the attempts of one update, of which others may write the object at the same time.
 	maxEvidenceWrites = 3
 	// evidenceStoreTimeout bounds a call to the store.
@@ -33,6 +36,9 @@
 	// version is the version of the object that was last read or written, read is set once there was a successful read.
 	version objectstore.Version
 	read    bool
+	// writeAfter is when the next write may be tried after writes that failed, writePause the pause after the last one.
+	writeAfter time.Time
+	writePause time.Duration
 }
 
 // RunStoringEvidence reads the stored evidence at the start and while no other instance responds, and writes what the store
@@ -61,10 +67,16 @@
 			return err
 		}
 	}
-	if !m.config.Quarantine.StoreDue(m.config.Clock.Now()) {
+	if now := m.config.Clock.Now(); now.Before(s.writeAfter) || !m.config.Quarantine.StoreDue(now) {
 		return nil
 	}
-	return s.write(ctx)
+	if err := s.write(ctx); err != nil {
+		s.writePause = min(max(2*s.writePause, storeInterval), maxWritePause)
+		s.writeAfter = m.config.Clock.Now().Add(s.writePause/2 + rand.N(s.writePause))
+		return err
+	}
+	s.writePause = 0
+	return nil
 }
 
 // isolated reports whether there are other instances and none was in contact for a while.
--- a/members/evidence_test.go
+++ b/members/evidence_test.go
@@ -198,6 +198,26 @@
 		So(string(f.store.object.Value), ShouldContainSubstring, "other")
 		So(string(f.store.object.Value), ShouldContainSubstring, "bad-a1")
 	})
+	Convey("an outage of the store leads to few writes, and the evidence is written after it", t, func() {
+		f := newEvidenceFleet(t, "a1")
+		f.update(t, "a1")
+		f.store.unavailable = true
+		for _, endpoint := range []string{"i-1", "i-2", "i-3"} {
+			f.crash(t, "a1", endpoint, "bad")
+		}
+		for range 60 {
+			So(f.refuses("a1", "bad"), ShouldBeTrue)
+			_ = f.stores["a1"].update(t.Context())
+			f.clock.Advance(time.Second)
+		}
+		So(f.store.calls, ShouldBeBetween, 3, 20)
+		f.store.unavailable = false
+		for range 20 {
+			f.update(t, "a1")
+			f.clock.Advance(time.Second)
+		}
+		So(string(f.store.object.Value), ShouldContainSubstring, "bad")
+	})
 	Convey("a clock that is seconds behind or ahead does not hide the evidence", t, func() {
 		for _, offset := range []time.Duration{-5 * time.Second, 5 * time.Second} {
 			f := newEvidenceFleet(t, "a1")
