--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/quarantine"
 )
 
 // advancingClock is the real clock set forward by the test.
@@ -109,3 +111,93 @@
 		}
 	})
 }
+
+// convict puts a part in quarantine, as another instance's verdict does.
+func (h *harness) convict(part string) {
+	h.config.Quarantine.Merge(quarantine.State{Quarantined: []quarantine.Quarantined{{Verdict: quarantine.Verdict{Part: part, Remaining: time.Minute}}}}, h.config.Clock.Now())
+}
+
+func TestQuarantineDuringRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		first      http.HandlerFunc
+		status     int
+		outcome    string
+	}{
+		{"a request that may have run is not sent again, and its outcome is unknown", "/plan/", abortConnection, 502, "unknown"},
+		{"a request that did not run is refused", "/status/", respondNotRun, 503, "quarantined-prompt"},
+	} {
+		Convey(c.name+" if its part was put in quarantine meanwhile", t, func() {
+			var h *harness
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				h.convict("bad")
+				c.first(w, r)
+			}
+			h = newHarness(newFakeEndpoint("i-1", handle), newFakeEndpoint("i-2", handle))
+			Reset(h.close)
+			h.config.Quarantine = quarantine.New(quarantine.Config{})
+			h.restart()
+			resp := h.sendPrompt(c.path, "bad", 1)
+			So(resp.status, ShouldEqual, c.status)
+			So(resp.body, ShouldContainSubstring, c.outcome)
+			So(h.requestCount(), ShouldEqual, 1)
+		})
+	}
+}
+
+func TestSuspectedRequestIsNotSentAgain(t *testing.T) {
+	Convey("a request that crashes an endpoint with a part lost in two crashes is sent once, a sound one is sent again", t, func() {
+		var endpoints []*fakeEndpoint
+		for i := range 8 {
+			endpoints = append(endpoints, crashOn(fmt.Sprintf("i-%d", i), "bad"))
+		}
+		h := newHarness(endpoints...)
+		Reset(h.close)
+		h.config.Quarantine = quarantine.New(quarantine.Config{})
+		clock := h.setClock()
+		So(h.sendPrompt("/note/", "good", 0).status, ShouldEqual, 200)
+		for i := range 2 {
+			So(h.sendPrompt("/note/", "bad", i).status, ShouldEqual, 502)
+			h.awaitLogs(crashLog, i+1)
+			clock.advance(time.Second)
+		}
+		before := h.requestCount()
+		So(h.sendPrompt("/plan/", "bad", 3).status, ShouldEqual, 502)
+		So(h.requestCount(), ShouldEqual, before+1)
+		h.awaitLogs(crashLog, 3)
+		So(h.sendPrompt("/plan/", "good", 4).status, ShouldEqual, 200)
+	})
+}
+
+func TestLostConnectionsOfLiveEndpointsConvictNothing(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		handle http.HandlerFunc
+		// checks is the number of checks whether the endpoint has ended, for each request.
+		checks int
+	}{
+		{"resets connections", abortConnection, 1},
+		{"ends responses before their first event", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, 1},
+		{"fails", respondWith(500, "e"), 0},
+	} {
+		Convey("an endpoint that "+c.name+" is alive, so its requests are no evidence", t, func() {
+			e := newFakeEndpoint("i-1", c.handle)
+			h := newHarness(e)
+			Reset(h.close)
+			h.config.Quarantine = quarantine.New(quarantine.Config{})
+			clock := h.setClock()
+			for i := range 8 {
+				h.sendPrompt("/note/", "part", i)
+				h.awaitLogs("gateway: endpoint has not ended, although requests were lost before their first event", c.checks*(i+1))
+				clock.advance(5 * time.Second)
+			}
+			So(e.requestCount(), ShouldEqual, 8)
+			So(h.config.Quarantine.Statements(clock.Now()).Crashes, ShouldBeEmpty)
+		})
+	}
+}
