Let one request pass to end a wrong quarantine

A wrong verdict lasted until its longest duration. Now the instance that decided it lets one request with the part pass, three minutes after the verdict, or 30 s if answers with the part began before the crashes. An answer ends the quarantine everywhere; a crash ends the trials, so that a right verdict costs one. Of several instances that decide at the same time, all choose the first by name.

A part must be in half of the crashes since its first, not a third.

--- a/members/evidence.go
+++ b/members/evidence.go
@@ -182,6 +182,7 @@
 		out.Quarantined = append(out.Quarantined, &api.QuarantinedPart{
 			Part: q.Part, Remaining: durationpb.New(q.Remaining), LastRequestAge: durationpb.New(q.LastRequestAge),
 			LastCrashAge: durationpb.New(q.LastCrashAge), Endpoints: q.Endpoints, Stored: q.Stored,
+			DecidedBy: q.DecidedBy, Untried: durationpb.New(q.Untried),
 		})
 	}
 	return out
@@ -205,7 +206,7 @@
 			Verdict: quarantine.Verdict{
 				Part: q.Part, Endpoints: q.Endpoints, LastCrashAge: q.LastCrashAge.AsDuration(), Remaining: q.Remaining.AsDuration(),
 			},
-			LastRequestAge: q.LastRequestAge.AsDuration(), Stored: q.Stored,
+			LastRequestAge: q.LastRequestAge.AsDuration(), Stored: q.Stored, DecidedBy: q.DecidedBy, Untried: q.Untried.AsDuration(),
 		})
 	}
 	return out
--- a/members/evidence_store.go
+++ b/members/evidence_store.go
@@ -121,6 +121,7 @@
 	for i := range s.Quarantined {
 		s.Quarantined[i].Remaining -= elapsed
 		s.Quarantined[i].LastCrashAge += elapsed
+		s.Quarantined[i].Untried -= elapsed
 	}
 	return s
 }
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -45,6 +45,9 @@
 	LastRequestAge time.Duration
 	// Stored is set if the store has the verdict.
 	Stored bool
+	// DecidedBy is the name of the instance that decided and may let a request pass, Untried the time until it may.
+	DecidedBy string
+	Untried   time.Duration
 }
 
 // Statements returns all that other instances should know.
@@ -117,7 +120,8 @@
 }
 
 func (v *verdict) state(part string, now time.Time) Quarantined {
-	return Quarantined{Verdict: v.export(part, now), LastRequestAge: now.Sub(v.lastRequest), Stored: v.stored}
+	return Quarantined{Verdict: v.export(part, now), LastRequestAge: now.Sub(v.lastRequest), Stored: v.stored,
+		DecidedBy: v.decidedBy, Untried: v.triedFrom.Sub(now)}
 }
 
 // state returns the newest crashes and verdicts that are selected, and when answers to their parts began.
@@ -205,6 +209,8 @@
 	}
 	if v := t.verdicts[q.Part]; v != nil {
 		v.stored = v.stored || q.Stored || fromStore
+		// Of several instances that decided at the same time, all choose the same one.
+		v.decidedBy = min(v.decidedBy, q.DecidedBy)
 		if !fromStore && lastRequest.Sub(v.lastRequest) > minAdvance {
 			v.lastRequest = lastRequest
 		}
@@ -216,6 +222,7 @@
 	v := &verdict{
 		lastRequest: lastRequest, lastCrash: lastCrash, until: now.Add(min(q.Remaining, maxDuration)), stored: q.Stored || fromStore,
 		storeAfter: now.Add(t.takeoverDelay()), endpoints: q.Endpoints[:min(len(q.Endpoints), maxEndpointsKept)],
+		decidedBy: q.DecidedBy, triedFrom: now.Add(q.Untried),
 	}
 	t.setVerdict(q.Part, v)
 	t.changed(Change{Verdict: v.export(q.Part, now), FromInstance: true})
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -244,9 +244,12 @@
 
 // convict puts a part in quarantine.
 func (t *Tracker) convict(s suspicion, now time.Time) {
-	v := &verdict{lastRequest: now, until: now.Add(maxDuration), unsent: true, withdraws: true, storeAfter: now}
+	v := &verdict{
+		lastRequest: now, until: now.Add(maxDuration), unsent: true, withdraws: true, storeAfter: now,
+		decidedBy: t.config.Self, triedFrom: now.Add(trialDelay),
+	}
 	if s.begun {
-		v.until = now.Add(maxDurationBegun)
+		v.triedFrom = now.Add(trialDelayBegun)
 	}
 	for _, c := range s.entries {
 		v.lastCrash = c.at
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -7,11 +7,12 @@
 //   - endpoints crashed at three separate times while requests with the part waited, and no answer with it began since, or at
 //     five such times if an answer with it ever began, and
 //   - no other part has as much evidence; parts that are always lost together need one more crash, many of them two more, and
-//   - the part is in a third of the crashes since its first one, so that a long series of other crashes convicts nobody.
+//   - the part is in half of the crashes since its first one, so that a long series of other crashes convicts nobody.
 //
 // Endpoints that crash within a short time of each other, like those of a rack, count as one crash. Crashes with a part in
-// quarantine are explained by it and count against no other part. A quarantine ends when no request with the part came for a
-// while, when an answer to one began after all, or at the latest after a fixed time. After that, the next crash renews it.
+// quarantine are explained by it and count against no other part. After some time, the instance that decided lets one request
+// with the part pass. A quarantine ends when no request with the part came for a while, when an answer to one began after all,
+// or at the latest after a fixed time. After that, the next crash renews it.
 //
 // The package is pure: callers pass the current time. Instances exchange ages, because their clocks differ. A Tracker is safe
 // for concurrent use, and its memory is bounded: the oldest entries are dropped.
@@ -40,7 +41,7 @@
 	// that always occur together in prompts. More of them need two more.
 	fewTied = 8
 	// minCrashShare is the inverse of the share of crashes that a part must be in.
-	minCrashShare = 3
+	minCrashShare = 2
 	// replyPeriod is how long after an own observation a verdict waits for other instances to say what they know of the parts.
 	// relayPeriod is the same for crashes observed by others, in case those do not decide.
 	replyPeriod = 400 * time.Millisecond
@@ -53,10 +54,13 @@
 	endedPeriod     = 3 * time.Second
 	// QuietPeriod is how long after the last request with the part a quarantine ends.
 	QuietPeriod = time.Minute
-	// maxDuration and maxDurationBegun bound a quarantine while requests keep coming, without and with an answer that began
-	// before it. A wrong verdict lasts no longer; a right one costs a crash each time.
-	maxDuration      = 10 * time.Minute
-	maxDurationBegun = 2 * time.Minute
+	// trialDelay and trialDelayBegun are how long after a verdict a request with the part is tried, without and with an answer
+	// that began before it. A right verdict costs a crash, a wrong one ends. trialPeriod is the time for the result.
+	trialDelay      = 3 * time.Minute
+	trialDelayBegun = 30 * time.Second
+	trialPeriod     = 10 * time.Second
+	// maxDuration bounds a quarantine while requests keep coming.
+	maxDuration = 10 * time.Minute
 	// formerMemory is how long after the end of a quarantine a single crash renews it.
 	formerMemory = 10 * time.Minute
 	// minAdvance is how much newer a time passed on by another instance must be. The time on the way makes it seem newer than
@@ -101,6 +105,8 @@
 
 // Config holds the dependencies of a Tracker.
 type Config struct {
+	// Self is the name of this instance.
+	Self string
 	// OnChange is called for each begin and end of a quarantine. It must not call the Tracker.
 	OnChange func(Change)
 	// TakeoverDelay returns how long after a first period this instance writes evidence of others to the store, if they do not.
@@ -162,6 +168,9 @@
 	withdraws bool
 	// storeAfter is when this instance writes the verdict to the store.
 	storeAfter time.Time
+	// decidedBy is the name of the instance that decided. It may let a request pass after triedFrom, and did so at triedAt.
+	decidedBy          string
+	triedFrom, triedAt time.Time
 }
 
 // New returns a Tracker that knows nothing.
@@ -289,15 +298,36 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
+	var tried []*verdict
 	for _, part := range parts {
-		if v := t.verdicts[part]; v != nil {
-			v.lastRequest = now
+		v := t.verdicts[part]
+		if v == nil {
+			continue
+		}
+		v.lastRequest = now
+		if !t.mayTry(v, now) {
 			return v.export(part, now), true
 		}
+		tried = append(tried, v)
+	}
+	for _, v := range tried {
+		v.triedAt = now
 	}
 	return Verdict{}, false
 }
 
+// mayTry reports whether a request may pass to find out whether the verdict is wrong. Only one instance lets one pass, and after
+// a crash of it no other.
+func (t *Tracker) mayTry(v *verdict, now time.Time) bool {
+	switch {
+	case v.decidedBy != t.config.Self, now.Before(v.triedFrom):
+		return false
+	case v.triedAt.IsZero():
+		return true
+	}
+	return !v.lastCrash.After(v.triedAt) && now.Sub(v.triedAt) > trialPeriod
+}
+
 // Suspected reports whether one of the parts may crash endpoints: it was lost in two crashes, and no answer with it began
 // since. Requests with it are served, but not sent again after a crash.
 func (t *Tracker) Suspected(parts []string, now time.Time) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -22,8 +22,8 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{now: time.Unix(1_800_000_000, 0)}
-	for range n {
-		f.trackers = append(f.trackers, New(Config{OnChange: func(c Change) { f.changes = append(f.changes, c) }}))
+	for i := range n {
+		f.trackers = append(f.trackers, New(Config{Self: fmt.Sprint("front-", i), OnChange: func(c Change) { f.changes = append(f.changes, c) }}))
 	}
 	return f
 }
@@ -215,6 +215,46 @@
 		So(f.convictedBy("bad"), ShouldEqual, 0)
 		So(f.changes[len(f.changes)-1].Ended, ShouldEqual, EndedBegun)
 	})
+	// passed sends a request with the part to each instance each second, and returns the instances that let it pass.
+	passed := func(f *fleet, d time.Duration) (out []int) {
+		for end := f.now.Add(d); f.now.Before(end); {
+			for i, tracker := range f.trackers {
+				if _, ok := tracker.Quarantined(prompt("bad"), f.now); !ok {
+					out = append(out, i)
+				}
+			}
+			f.wait(time.Second)
+		}
+		return out
+	}
+	Convey("one instance lets one request pass after a while, and no other if it crashes an endpoint", t, func() {
+		f := convicted()
+		So(passed(f, trialDelay-10*time.Second), ShouldBeEmpty)
+		var tried []int
+		for len(tried) == 0 {
+			tried = passed(f, time.Second)
+		}
+		So(tried, ShouldHaveLength, 1)
+		f.crashAndWait(tried[0], prompt("bad"))
+		So(passed(f, 5*time.Minute), ShouldBeEmpty)
+	})
+	Convey("an answer to the request that passed ends it everywhere, sooner if answers began before the crashes", t, func() {
+		f := newFleet(3)
+		f.trackers[0].Began(prompt("bad"), f.now)
+		f.now = f.now.Add(time.Second)
+		for i := range 5 {
+			f.crashAndWait(i%3, prompt("bad"))
+		}
+		So(f.convictedBy("bad"), ShouldEqual, 3)
+		var tried []int
+		for len(tried) == 0 {
+			tried = passed(f, time.Second)
+		}
+		f.trackers[tried[0]].Began(prompt("bad"), f.now)
+		f.wait(time.Second)
+		So(f.convictedBy("bad"), ShouldEqual, 0)
+		So(f.now.Sub(time.Unix(1_800_000_000, 0)), ShouldBeLessThan, 45*time.Second)
+	})
 	Convey("it ends at the latest after its longest duration, and a single crash renews it", t, func() {
 		f := convicted()
 		for f.convictedBy("bad") == 3 {
--- a/router/router.go
+++ b/router/router.go
@@ -120,7 +120,7 @@
 		Self: c.Settings.Name, Instances: func() []string { return r.members.Names() }, OnChange: r.logLimitChange,
 	})
 	r.chooser = placement.New(r.limits)
-	r.quarantine = quarantine.New(quarantine.Config{OnChange: r.logQuarantine, TakeoverDelay: r.evidenceTakeoverDelay})
+	r.quarantine = quarantine.New(quarantine.Config{Self: c.Settings.Name, OnChange: r.logQuarantine, TakeoverDelay: r.evidenceTakeoverDelay})
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
