Do not let a part of few crashes hide the cause of the latest ones

A part that is lost in few of many crashes is not convicted, but had the highest count, so that no other part was: the new case of TestVerdict failed (expected 2 instances with the verdict, got 0).

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -197,7 +197,7 @@
 
 // convicts reports whether the evidence against a part is sufficient, apart from that against others, if a number of further
 // crashes is needed.
-func (s *suspicion) convicts(further int) bool { return s.settled >= s.threshold()+further && s.share }
+func (s *suspicion) convicts(further int) bool { return s.share && s.settled >= s.threshold()+further }
 
 // convictable returns the parts to put in quarantine next. Parts with which no answer ever began come first, because an answer
 // shows that endpoints survived the other ones.
@@ -222,9 +222,10 @@
 // strongest returns the parts with the most evidence if it convicts them. If there are several, each of them may be the cause,
 // and another crash is needed to tell them apart.
 func strongest(list []suspicion) []suspicion {
+	list = slices.DeleteFunc(list, func(s suspicion) bool { return !s.share })
 	var tied []suspicion
 	for _, s := range list {
-		if s.crashes == list[0].crashes && s.share {
+		if s.crashes == list[0].crashes {
 			tied = append(tied, s)
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -172,6 +172,24 @@
 		So(f.convictedBy("bad"), ShouldEqual, 2)
 		So(f.convictedBy("bystander"), ShouldEqual, 0)
 	})
+	Convey("a part that is lost in few of many crashes is not convicted, and does not hide one that is in each of the last", t, func() {
+		f := newFleet(2)
+		f.trackers[0].Began(prompt("other"), f.now)
+		f.now = f.now.Add(time.Second)
+		for i := range 20 {
+			prompts := [][]string{prompt(fmt.Sprint("session-", i))}
+			if i%5 == 0 {
+				prompts = append(prompts, prompt("slow"))
+			}
+			f.crashAndWait(i%2, prompts...)
+		}
+		So(f.changes, ShouldBeEmpty)
+		for i := range 3 {
+			f.crashAndWait(i%2, prompt("bad"))
+		}
+		So(f.convictedBy("bad"), ShouldEqual, 2)
+		So(f.convictedBy("slow"), ShouldEqual, 0)
+	})
 	Convey("a request lost in two crashes is suspected, until an answer begins", t, func() {
 		f := newFleet(2)
 		f.crashAndWait(0, prompt("a"))
