--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -49,7 +49,7 @@
 func (d *crashDetector) lost(e registry.Endpoint, parts []string) {
 	now := d.gateway.config.Clock.Now()
 	if d.gateway.config.Quarantine.Ended(e, now) {
-		d.gateway.config.Quarantine.Crashed(e, parts, now, now)
+		d.record(&crashCheck{endpoint: e, lostAt: now, requests: [][]string{parts}})
 		return
 	}
 	d.mu.Lock()
@@ -81,17 +81,24 @@
 	d.mu.Lock()
 	d.checks = slices.DeleteFunc(d.checks, func(other *crashCheck) bool { return other == c })
 	d.mu.Unlock()
-	logger := g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests)})
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		logger.WithField("connected", err == nil).Info("gateway: endpoint has not ended, although requests were lost before their first event")
+		g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "connected": err == nil}).
+			Info("gateway: endpoint has not ended, although requests were lost before their first event")
 		return
 	}
 	g.metrics.crashes.Inc(1)
+	d.record(c)
+}
+
+// record records that an endpoint has ended, with the requests that were lost there.
+func (d *crashDetector) record(c *crashCheck) {
+	g := d.gateway
 	now := g.config.Clock.Now()
 	for _, parts := range c.requests {
 		g.config.Quarantine.Crashed(c.endpoint, parts, c.lostAt, now)
 	}
-	logger.WithField("parts", distinctParts(c.requests)).Info("gateway: endpoint crashed while requests waited for their first event")
+	g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "parts": distinctParts(c.requests)}).
+		Info("gateway: endpoint crashed while requests waited for their first event")
 }
 
 // distinctParts returns the parts of several requests, each once.
