Try no request for a verdict of an unnamed instance

TestQuarantineDuringRequest failed since a request may pass on trial: the test's verdict names no instance, as its tracker does (2 requests instead of 1, both cases).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -320,7 +320,7 @@
 // a crash of it no other.
 func (t *Tracker) mayTry(v *verdict, now time.Time) bool {
 	switch {
-	case v.decidedBy != t.config.Self, now.Before(v.triedFrom):
+	case v.decidedBy == "", v.decidedBy != t.config.Self, now.Before(v.triedFrom):
 		return false
 	case v.triedAt.IsZero():
 		return true
