Send a lost request with a new part again only once

A request with a part that never brought an answer crashed up to three endpoints by its retries, because two separate crashes made a suspicion and its own follow each other within the time that counts as one. Now a crash of another endpoint suffices for such a part; for others, two still do.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -160,12 +160,12 @@
 
 // stopForPrompt returns the failure to end with after a failed attempt if the request must not be sent again because of its
 // prompt: it has a part in quarantine, or it was lost before its first event and has a part under suspicion.
-func (j *job) stopForPrompt(f *failure) *failure {
+func (j *job) stopForPrompt(ticket *placement.Ticket, f *failure) *failure {
 	if _, ok := j.quarantined(); ok {
 		return &failure{reason: reasonQuarantined}
 	}
 	lost := !j.attemptBegun && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
-	if !lost || !j.gateway.config.Quarantine.Suspected(j.meta.sharedParts(), j.gateway.config.Clock.Now()) {
+	if !lost || !j.gateway.config.Quarantine.Suspected(ticket.Endpoint, j.meta.sharedParts(), j.gateway.config.Clock.Now()) {
 		return nil
 	}
 	j.logger().WithField("reason", string(f.reason)).Info("gateway: request is not sent again, a prompt part may have crashed endpoints")
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -146,7 +146,7 @@
 }
 
 func TestSuspectedRequestIsNotSentAgain(t *testing.T) {
-	Convey("a request that crashes an endpoint with a part lost in two crashes is sent once, a sound one is sent again", t, func() {
+	Convey("a request with a part under which other endpoints crashed is sent once, a sound one is sent again", t, func() {
 		var endpoints []*fakeEndpoint
 		for i := range 8 {
 			endpoints = append(endpoints, crashOn(fmt.Sprintf("i-%d", i), "bad"))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -67,7 +67,7 @@
 		if f.response != nil {
 			j.lastErrorResponse = f
 		}
-		if stop := j.stopForPrompt(f); stop != nil {
+		if stop := j.stopForPrompt(ticket, f); stop != nil {
 			return j.giveUp(j.preferErrorResponse(*stop))
 		}
 		if !j.mayRetry(f) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,7 +35,8 @@
 	// one with which an answer began before them.
 	minCrashes      = 3
 	minCrashesBegun = 5
-	// minSuspicion is the number of crashes from which a lost request with the part is not sent again.
+	// minSuspicion is the number of crashes from which a lost request with the part is not sent again, although an answer with
+	// it ever began.
 	minSuspicion = 2
 	// fewTied is the number of parts with the same evidence that one more crash convicts together, about the number of parts
 	// that always occur together in prompts. More of them need two more.
@@ -328,9 +329,10 @@
 	return !v.lastCrash.After(v.triedAt) && now.Sub(v.triedAt) > trialPeriod
 }
 
-// Suspected reports whether one of the parts may crash endpoints: it was lost in two crashes, and no answer with it began
-// since. Requests with it are served, but not sent again after a crash.
-func (t *Tracker) Suspected(parts []string, now time.Time) bool {
+// Suspected reports whether one of the parts may have caused the loss of a request at an endpoint, because requests with it were
+// lost in crashes of other endpoints and no answer began since: one crash if no answer with the part ever began, two otherwise.
+// Requests with it are served, but not sent again after a crash.
+func (t *Tracker) Suspected(e registry.Endpoint, parts []string, now time.Time) bool {
 	if !t.inUse.Load() {
 		return false
 	}
@@ -338,7 +340,11 @@
 	defer t.mu.Unlock()
 	t.judge(now)
 	for _, s := range t.suspicions(now) {
-		if s.crashes >= minSuspicion && slices.Contains(parts, s.part) {
+		switch {
+		case !slices.Contains(parts, s.part):
+		case s.crashes >= minSuspicion:
+			return true
+		case !s.begun && slices.ContainsFunc(s.entries, func(c *crash) bool { return !c.endpoint.SameProcess(e) }):
 			return true
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -190,14 +190,24 @@
 		So(f.convictedBy("bad"), ShouldEqual, 2)
 		So(f.convictedBy("slow"), ShouldEqual, 0)
 	})
-	Convey("a request lost in two crashes is suspected, until an answer begins", t, func() {
+	Convey("a request is suspected after the crash of another endpoint, after two if an answer ever began, until one begins", t, func() {
 		f := newFleet(2)
-		f.crashAndWait(0, prompt("a"))
-		So(f.trackers[1].Suspected(prompt("a"), f.now), ShouldBeFalse)
-		f.crashAndWait(1, prompt("a"))
-		So(f.trackers[1].Suspected(prompt("a"), f.now), ShouldBeTrue)
-		f.trackers[0].Began(prompt("a"), f.now)
-		So(f.trackers[0].Suspected(prompt("a"), f.now), ShouldBeFalse)
+		f.trackers[0].Began(prompt("used"), f.now)
+		f.now = f.now.Add(time.Second)
+		suspected := func(endpoint, part string) bool {
+			return f.trackers[1].Suspected(registry.Endpoint{ID: endpoint, Service: "model", Address: "10.0.0.1:80"}, prompt(part), f.now)
+		}
+		So(suspected("i-1", "new"), ShouldBeFalse)
+		f.crashAndWait(0, prompt("new"), prompt("used"))
+		So(suspected("i-1", "new"), ShouldBeFalse)
+		So(suspected("i-2", "new"), ShouldBeTrue)
+		So(suspected("i-2", "used"), ShouldBeFalse)
+		f.crashAndWait(1, prompt("used"))
+		So(suspected("i-3", "used"), ShouldBeTrue)
+		f.trackers[1].Began(prompt("used"), f.now)
+		f.trackers[1].Began(prompt("new"), f.now)
+		So(suspected("i-3", "used"), ShouldBeFalse)
+		So(suspected("i-3", "new"), ShouldBeFalse)
 	})
 }
 
