Test that a stream without events is passed on once (fails)

Cause: relayStream takes the end of a stream before its first event for a broken one, even if the end of the last chunk shows that it is complete. A caller that resumes a stream after its last event gets such a stream.

Change: a test in which endpoints send the header of a chunked stream and then its end.

--- a/router/unframed_test.go
+++ b/router/unframed_test.go
@@ -247,6 +247,36 @@
 	}
 }
 
+// TestStreamWithoutEventsReachesTheCallerOnce guards against taking the end of a chunked stream for a broken one, such as that of
+// a stream that is resumed after its last event.
+func TestStreamWithoutEventsReachesTheCallerOnce(t *testing.T) {
+	const instances, endpoints = 2, 4
+	synctest.Test(t, func(t *testing.T) {
+		e := newEmulator(0, 0, endpoints)
+		logs := newRequestLog()
+		e.logs = logs
+		for _, endpoint := range e.endpoints {
+			endpoint.respond = func(w http.ResponseWriter, r *http.Request) {
+				endpoint.writeHeader(w, r)
+				w.(http.Flusher).Flush()
+			}
+		}
+		e.store.set("config/main", callConfiguration(1, 6*time.Second, false))
+		e.addInstances(instances)
+		time.Sleep(versionsKnownDelay)
+		calls := e.playCalls(10, time.Second, nil, func() []callPath { return []callPath{{"/plan/x", 1}} })
+		e.stop()
+		runs := e.runs()
+		var broken []string
+		for _, c := range calls {
+			if c.outcome() != outcomeComplete || len(c.body) > 0 || len(runs[c.id]) != 1 {
+				broken = append(broken, logs.describe(c, runs[c.id]))
+			}
+		}
+		reportBroken(t, broken)
+	})
+}
+
 func TestMemoryConnTellsResetFromClose(t *testing.T) {
 	for _, c := range []struct {
 		end  func(*memoryConn)
