--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -20,6 +20,9 @@
 	// crashCheckDelay is the time between a lost connection and the check whether the endpoint has ended. A process that ends
 	// closes its connections and its listener one after the other.
 	crashCheckDelay = 50 * time.Millisecond
+	// eventsToBegin is the number of events from which an endpoint has begun to answer. One that crashes as it begins may still
+	// have sent the first one.
+	eventsToBegin = 2
 	// maxCrashChecks bounds the checks in progress, each of another endpoint process.
 	maxCrashChecks = 64
 	// maxPartsChecked bounds the parts of lost requests that wait for a check.
@@ -29,7 +32,7 @@
 	maxPartBytes   = 128
 )
 
-// crashDetector finds out whether endpoints ended whose connections were lost while requests waited for their first event.
+// crashDetector finds out whether endpoints ended whose connections were lost before or as they began to answer requests.
 // An endpoint that resets single connections and one that is cut off have not ended. It is safe for concurrent use.
 type crashDetector struct {
 	gateway *Gateway
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -201,3 +202,36 @@
 		})
 	}
 }
+
+func TestEndpointThatCrashesAfterItsFirstEvent(t *testing.T) {
+	Convey("a part under which three endpoints crashed after the first event is in quarantine", t, func() {
+		var endpoints []*fakeEndpoint
+		for i := range 6 {
+			e := newFakeEndpoint(fmt.Sprintf("i-%d", i), nil)
+			e.handle = func(w http.ResponseWriter, r *http.Request) {
+				if !strings.Contains(r.Header.Get("X-Prefix-Hash"), "bad:") {
+					streamEvents(3, 0)(w, r)
+					return
+				}
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				_, _ = io.WriteString(w, eventsUpTo(1))
+				w.(http.Flusher).Flush()
+				e.crash()
+				panic(http.ErrAbortHandler)
+			}
+			endpoints = append(endpoints, e)
+		}
+		h := newHarness(endpoints...)
+		Reset(h.close)
+		clock := h.setClock()
+		So(h.sendPrompt("/note/", "good", 0).status, ShouldEqual, 200)
+		for i := range 3 {
+			So(h.sendPrompt("/note/", "bad", i).truncated, ShouldBeTrue)
+			h.awaitLogs(crashLog, i+1)
+			clock.advance(time.Second)
+		}
+		before := h.requestCount()
+		So(h.sendPrompt("/note/", "bad", 10).body, ShouldContainSubstring, "quarantined-prompt")
+		So(h.requestCount(), ShouldEqual, before)
+	})
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,10 +69,13 @@
 func (j *job) relayStream(a *attempt) *failure {
 	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
-	resumed := j.headerSent
+	resumed, received := j.headerSent, 0
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) && j.headerSent {
+			if !j.attemptBegun {
+				j.recordBegun()
+			}
 			return nil
 		}
 		if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
@@ -82,7 +85,7 @@
 			j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.eventCount}).WithError(err).Info("gateway: stream is truncated or invalid")
 			return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 		}
-		if !j.attemptBegun {
+		if received++; received == eventsToBegin {
 			j.recordBegun()
 		}
 		if ev.hasID && resumed && ev.id <= j.lastEventID {
