Send nothing to an endpoint that says it leaves (DRAIN)

Endpoints say in all responses, with Server-Leaving, that they are about to stop. Nothing read it: requests went on until service discovery said so, which may be seconds late or never.

TestLeavingEndpointGetsNoFurtherRequest (gateway) failed in nine cases, for example "Expected: 503 Actual: 200" for a request to the only endpoint, and "Expected: []int{1, 1} Actual: []int{2, 1}" for a move from a silent endpoint. TestDrainingEndpointGetsNoRequest (placement) is new with its method.

Change: the gateway records it when it has read the header of any response, unless that belongs to another request or comes from another endpoint (421). placement excludes the endpoint in the one place that all choices pass: new requests, retries, resumptions, moves, rate-limited endpoints, the same endpoint again, and the last one left, where the request is refused at once as no-endpoint. The notice belongs to one process of the endpoint and is kept apart from its other state: for as long as it is listed, and 10 minutes after, for at most 1,024 that are not listed, since an entry may vanish and come back. Requests in progress go on, and the header is passed on to callers.

Instances do not tell each other. Each is told by its first response, which the endpoint still gives, and by service discovery as before; the exchange of limits runs only while there are limits, and its statements can be withdrawn, which a leaving cannot.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -243,6 +243,7 @@
 	}
 	if !a.meta.Misdirected {
 		j.recordRateLimit(a, sentAt)
+		j.recordDraining(a)
 	}
 	if a.meta.NotRun {
 		return j.notRunFailure(a)
@@ -266,6 +267,13 @@
 	}
 }
 
+// recordDraining records that an endpoint is about to stop, if the response says so.
+func (j *job) recordDraining(a *attempt) {
+	if a.meta.Draining && a.ticket.RecordDraining() {
+		j.logger().WithField("endpoint", a.ticket.Endpoint.ID).Info("gateway: endpoint is leaving")
+	}
+}
+
 // endpointRequest builds the request to an endpoint with the caller's method, path, query and body.
 func (j *job) endpointRequest(ctx context.Context, e registry.Endpoint) *http.Request {
 	forwarded := ForwardMeta{Timeout: j.remainingTime(), EndpointID: e.ID, Priority: -1}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -57,6 +57,8 @@
 	NotRun bool
 	// Misdirected reports that the address now belongs to another endpoint. The request was not run.
 	Misdirected bool
+	// Draining reports that the endpoint is about to stop and wants no further requests.
+	Draining bool
 	// Load is the load report of the endpoint, or nil if there is none.
 	Load *placement.Load
 	// RateLimit is the number of requests per second that the endpoint accepts from all instances together, or nil if it
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -120,13 +120,16 @@
 type Chooser struct {
 	mu      sync.Mutex
 	states  map[string]*endpointState
+	notices map[string]*notice
 	domains map[string]*domainState
 	limits  Limits
 }
 
 // New returns a Chooser without any recorded state.
 func New(l Limits) *Chooser {
-	return &Chooser{states: make(map[string]*endpointState), domains: make(map[string]*domainState), limits: l}
+	return &Chooser{
+		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState), limits: l,
+	}
 }
 
 // Ticket tracks one request at the endpoint chosen for it. Its methods must be called from one goroutine.
@@ -183,12 +186,13 @@
 	return nil
 }
 
-// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Ejected endpoints and those in partitioned domains are excluded
-// unless no other remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
+// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Draining endpoints are always
+// excluded. Ejected endpoints and those in partitioned domains are excluded unless no other remains; failing or busy ones are
+// excluded unless that would exclude more than half of the rest.
 func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) (usable []*endpointState, limited bool) {
 	var healthy, reachable, all []*endpointState
 	for _, e := range endpoints {
-		if tried[e.ID] {
+		if tried[e.ID] || c.noticeOf(e).draining {
 			continue
 		}
 		if !c.limits.Allows(e, now) {
@@ -246,10 +250,11 @@
 	return s != nil && s.endpoint.SameProcess(e) && s.lostConnectionAt.After(after)
 }
 
-// Retain deletes the state of endpoints for which known returns false.
-func (c *Chooser) Retain(known func(id string) bool) {
+// Retain deletes the state of endpoints for which known returns false, and their notices after a while.
+func (c *Chooser) Retain(known func(id string) bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.retainNotices(known, now)
 	for id := range c.states {
 		if !known(id) {
 			delete(c.states, id)
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -44,6 +44,7 @@
 	limits   []namedLimit
 	// told holds when each instance was first sent a response that names a limit.
 	told map[string]time.Time
+	announcer
 }
 
 // startEndpoint starts an endpoint. It is not registered yet.
@@ -125,6 +126,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.announce(h, r.RemoteAddr)
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/router/listeners.go
+++ b/router/listeners.go
@@ -133,10 +133,10 @@
 
 // publish makes the current endpoints visible to requests and discards the chooser's state of unknown ones.
 func (e *endpointListener) publish() {
-	view := e.set.View()
-	e.router.versions.Update(e.router.config.Clock.Now(), e.set)
+	view, now := e.set.View(), e.router.config.Clock.Now()
+	e.router.versions.Update(now, e.set)
 	e.router.endpointView.Store(view)
-	e.router.chooser.Retain(e.set.Contains)
+	e.router.chooser.Retain(e.set.Contains, now)
 	e.router.limits.Retain(e.set.Contains)
 }
 
