--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -92,6 +92,8 @@
 		missing = failure{reason: reasonOverloaded, estimatedWait: choice.EstimatedWait}
 	case placement.RateLimited:
 		missing = j.preferErrorResponse(failure{reason: reasonRateLimited})
+	case placement.Paused:
+		missing = j.preferErrorResponse(failure{reason: reasonEndpointsPaused})
 	case placement.Chosen:
 		if choice.Limited {
 			j.gateway.metrics.limited.Inc(1)
@@ -203,11 +205,19 @@
 		return &refusal{status: http.StatusBadGateway, reason: f.reason}
 	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded, f.reason == reasonRateLimited:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterNoCapacity + f.estimatedWait}
+	case f.reason == reasonEndpointsBusy, f.reason == reasonEndpointsPaused:
+		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: max(j.remainingPause(), retryAfterTransient)}
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterTransient}
 	}
 }
 
+// remainingPause returns the time until the first endpoint takes requests again if all ask for a pause, and zero otherwise.
+func (j *job) remainingPause() time.Duration {
+	now := j.gateway.config.Clock.Now()
+	return j.gateway.config.Chooser.RemainingPause(j.candidates(now), now)
+}
+
 // exchange sends the request to the endpoint of the ticket and relays its response.
 func (j *job) exchange(ticket *placement.Ticket) *failure {
 	g := j.gateway
@@ -244,6 +254,7 @@
 	if !a.meta.Misdirected {
 		j.recordRateLimit(a, sentAt)
 		j.recordDraining(a)
+		j.recordPause(a)
 	}
 	if a.meta.NotRun {
 		return j.notRunFailure(a)
@@ -274,6 +285,18 @@
 	}
 }
 
+// recordPause records for how long an endpoint wants no further requests, if the response says so. It does so whether or not
+// the endpoint ran this one.
+func (j *job) recordPause(a *attempt) {
+	logger := j.logger().WithField("endpoint", a.ticket.Endpoint.ID)
+	switch {
+	case a.meta.InvalidPause != "":
+		logger.WithField("pause", a.meta.InvalidPause).Warn("gateway: endpoint asks for an invalid pause")
+	case a.meta.Pause > 0 && a.ticket.RecordPause(a.meta.Pause, j.gateway.config.Clock.Now()):
+		logger.WithField("ms", a.meta.Pause.Milliseconds()).Info("gateway: endpoint asks for a pause")
+	}
+}
+
 // endpointRequest builds the request to an endpoint with the caller's method, path, query and body.
 func (j *job) endpointRequest(ctx context.Context, e registry.Endpoint) *http.Request {
 	forwarded := ForwardMeta{Timeout: j.remainingTime(), EndpointID: e.ID, Priority: -1}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -59,6 +59,10 @@
 	Misdirected bool
 	// Draining reports that the endpoint is about to stop and wants no further requests.
 	Draining bool
+	// Pause is how long the endpoint wants no further requests of this instance, or zero if it asks for no pause.
+	Pause time.Duration
+	// InvalidPause is the text of a pause that cannot be parsed.
+	InvalidPause string
 	// Load is the load report of the endpoint, or nil if there is none.
 	Load *placement.Load
 	// RateLimit is the number of requests per second that the endpoint accepts from all instances together, or nil if it
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -25,6 +25,7 @@
 	reasonNoEndpoint         reason = "no-endpoint"
 	reasonOverloaded         reason = "overloaded"
 	reasonEndpointsBusy      reason = "endpoints-busy"
+	reasonEndpointsPaused    reason = "endpoints-paused"
 	reasonRateLimited        reason = "rate-limited"
 	reasonOriginUnknown      reason = "origin-unknown"
 	reasonVersionUnavailable reason = "version-unavailable"
@@ -57,6 +58,8 @@
 	// retryAfterOutage applies to requests that need the object store while it is unavailable. Outages last for
 	// seconds, and a caller that retries during one is refused again.
 	retryAfterOutage = 2 * time.Second
+	// maxRetrySpread bounds the time over which retries are spread after a long delay.
+	maxRetrySpread = 2 * time.Second
 )
 
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
@@ -78,14 +81,14 @@
 	}
 }
 
-// write sends the refusal. The Retry-After delay is random between one and two times retryAfter, so that retries are
-// spread over time.
+// write sends the refusal. The Retry-After delay is random between one and two times retryAfter, and at most maxRetrySpread
+// longer, so that retries are spread over time.
 func (r refusal) write(w http.ResponseWriter, headers HeaderCodec, id string) {
 	h := w.Header()
 	headers.SetRequestID(h, id)
 	h.Set("Content-Type", "application/problem+json")
 	if r.retryAfter > 0 {
-		after := r.retryAfter + rand.N(r.retryAfter)
+		after := r.retryAfter + rand.N(min(r.retryAfter, maxRetrySpread))
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	// Encoding cannot fail: a problem has only string and integer fields.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -92,6 +92,8 @@
 	Overloaded
 	// RateLimited means that all endpoints limit their request rate, and this instance has used its part.
 	RateLimited
+	// Paused means that all endpoints have asked this instance for a pause.
+	Paused
 )
 
 // Choice is the result of Chooser.Pick.
@@ -149,10 +151,13 @@
 	if !r.RespondedSince.IsZero() {
 		usable = c.responding(usable, r.RespondedSince, now)
 	}
-	if len(usable) == 0 && limited {
+	switch {
+	case len(usable) > 0:
+	case limited:
 		return Choice{Outcome: RateLimited}
-	}
-	if len(usable) == 0 {
+	case c.remainingPause(endpoints, now) > 0:
+		return Choice{Outcome: Paused}
+	default:
 		return Choice{Outcome: NoEndpoint}
 	}
 	var s *endpointState
@@ -186,13 +191,13 @@
 	return nil
 }
 
-// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Draining endpoints are always
-// excluded. Ejected endpoints and those in partitioned domains are excluded unless no other remains; failing or busy ones are
-// excluded unless that would exclude more than half of the rest.
+// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Endpoints
+// that want no requests are always excluded. Ejected endpoints and those in partitioned domains are excluded unless no other
+// remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
 func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) (usable []*endpointState, limited bool) {
 	var healthy, reachable, all []*endpointState
 	for _, e := range endpoints {
-		if tried[e.ID] || c.noticeOf(e).draining {
+		if tried[e.ID] || !c.noticeOf(e).accepts(now) {
 			continue
 		}
 		if !c.limits.Allows(e, now) {
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -89,6 +89,7 @@
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr})
 	e.running++
+	running := e.running - 1
 	delay := firstEventDelay + time.Duration(e.running)*slowdownPerRequest
 	e.mu.Unlock()
 	defer func() {
@@ -96,6 +97,9 @@
 		defer e.mu.Unlock()
 		e.running--
 	}()
+	if e.turnAway(w, r.RemoteAddr, running) {
+		return
+	}
 	if !pause(r.Context(), delay) {
 		return
 	}
