--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,7 +4,7 @@
 // prefill them, requests that share prompt parts are routed to the engine that most likely has those parts cached,
 // unless its backlog is so long that repeating the prefill on another engine is faster. A request whose first token
 // would come too late is refused immediately. Failing endpoints are skipped for a while, but never most endpoints of a
-// service.
+// service. Endpoints that have said that they are about to stop, or have asked for a pause, get no request at all.
 //
 // The package is pure: callers pass the current time. A Chooser is safe for concurrent use.
 package placement
--- a/router/leaving_test.go
+++ b/router/leaving_test.go
@@ -196,7 +196,8 @@
 		}
 		result.told += len(names)
 		if late := endpoint.lateArrivals(e.instancesByName()); len(late) > 0 {
-			result.broken = append(result.broken, fmt.Sprintf("DRAIN: %s got %d requests from instances that it had told %v before that it leaves", endpoint.id, len(late), toldDelay))
+			result.broken = append(result.broken, fmt.Sprintf("DRAIN: %s got %d requests from instances that it had told %v before that it leaves",
+				endpoint.id, len(late), toldDelay))
 		}
 	}
 	result.served = e.servedShare()
@@ -258,7 +259,8 @@
 	busy := endpoints / 3
 	for i := range busy {
 		pause, notRun, running := randomPause(), i%2 == 0, e.random.IntN(3)
-		at(4*time.Second+time.Duration(e.random.IntN(4000))*time.Millisecond, func() { e.endpoints[i].turnAwayAbove(running, pause, notRun) })
+		from := 4*time.Second + time.Duration(e.random.IntN(4000))*time.Millisecond
+		at(from, func() { e.endpoints[i].turnAwayAbove(running, pause, notRun) })
 	}
 	for i := range endpoints {
 		pause := randomPause()
@@ -283,7 +285,8 @@
 		most := endpoint.mostInPause(e.instancesByName())
 		result.most = max(result.most, most)
 		if most > maxRequestsInPause {
-			result.broken = append(result.broken, fmt.Sprintf("BUDGET: %s got %d requests from an instance in a pause, %d are allowed", endpoint.id, most, maxRequestsInPause))
+			result.broken = append(result.broken, fmt.Sprintf("BUDGET: %s got %d requests from an instance in a pause, %d are allowed",
+				endpoint.id, most, maxRequestsInPause))
 		}
 		n := endpoint.arrivalsBetween(start.Add(32*time.Second), start.Add(40*time.Second))
 		if i < busy {
@@ -327,7 +330,8 @@
 			t.Run(fmt.Sprintf("%d_instances/seed_%d", size.instances, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					r := playPauses(seed, size.instances, size.endpoints, size.rate)
-					t.Logf("turned away %d, at most %d in a pause, refused %v, served %.3f after, regained %.2f", r.turnedAway, r.most, r.refused, r.served, r.regained)
+					t.Logf("turned away %d, at most %d in a pause, refused %v, served %.3f after, regained %.2f",
+						r.turnedAway, r.most, r.refused, r.served, r.regained)
 					for _, b := range r.broken {
 						t.Error(b)
 					}
