--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,7 +4,7 @@
 // prefill them, requests that share prompt parts are routed to the engine that most likely has those parts cached,
 // unless its backlog is so long that repeating the prefill on another engine is faster. A request whose first token
 // would come too late is refused immediately. Failing endpoints are skipped for a while, but never most endpoints of a
-// service.
+// service. Endpoints that have said that they are about to stop, or have asked for a pause, get no request at all.
 //
 // The package is pure: callers pass the current time. A Chooser is safe for concurrent use.
 package placement
@@ -92,6 +92,8 @@
 	Overloaded
 	// RateLimited means that all endpoints limit their request rate, and this instance has used its part.
 	RateLimited
+	// Paused means that all endpoints have asked this instance for a pause.
+	Paused
 )
 
 // Choice is the result of Chooser.Pick.
@@ -120,13 +122,16 @@
 type Chooser struct {
 	mu      sync.Mutex
 	states  map[string]*endpointState
+	notices map[string]*notice
 	domains map[string]*domainState
 	limits  Limits
 }
 
 // New returns a Chooser without any recorded state.
 func New(l Limits) *Chooser {
-	return &Chooser{states: make(map[string]*endpointState), domains: make(map[string]*domainState), limits: l}
+	return &Chooser{
+		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState), limits: l,
+	}
 }
 
 // Ticket tracks one request at the endpoint chosen for it. Its methods must be called from one goroutine.
@@ -146,10 +151,13 @@
 	if r.RespondedWithin > 0 {
 		usable = c.responding(usable, r.RespondedWithin, now)
 	}
-	if len(usable) == 0 && limited {
+	switch {
+	case len(usable) > 0:
+	case limited:
 		return Choice{Outcome: RateLimited}
-	}
-	if len(usable) == 0 {
+	case c.remainingPause(endpoints, now) > 0:
+		return Choice{Outcome: Paused}
+	default:
 		return Choice{Outcome: NoEndpoint}
 	}
 	var s *endpointState
@@ -183,12 +191,13 @@
 	return nil
 }
 
-// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Ejected endpoints and those in partitioned domains are excluded
-// unless no other remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
+// usable returns the endpoints that may be chosen, and whether rate limits exclude others. Endpoints
+// that want no requests are always excluded. Ejected endpoints and those in partitioned domains are excluded unless no other
+// remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
 func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) (usable []*endpointState, limited bool) {
 	var healthy, reachable, all []*endpointState
 	for _, e := range endpoints {
-		if tried[e.ID] {
+		if tried[e.ID] || !c.noticeOf(e).accepts(now) {
 			continue
 		}
 		if !c.limits.Allows(e, now) {
@@ -246,10 +255,11 @@
 	return s != nil && s.endpoint.SameProcess(e) && s.lostConnectionAt.After(after)
 }
 
-// Retain deletes the state of endpoints for which known returns false.
-func (c *Chooser) Retain(known func(id string) bool) {
+// Retain deletes the state of endpoints for which known returns false, and their notices after a while.
+func (c *Chooser) Retain(known func(id string) bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.retainNotices(known, now)
 	for id := range c.states {
 		if !known(id) {
 			delete(c.states, id)
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -51,6 +51,7 @@
 	told map[string]time.Time
 	// silences holds the times in which the endpoint sent nothing.
 	silences []silence
+	announcer
 }
 
 // startEndpoint starts an endpoint. It is not registered yet. The handlers that wrap returns serve its requests.
@@ -103,6 +104,7 @@
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{at: time.Now(), instance: r.RemoteAddr, request: r.Header.Get("X-Request-Id")})
 	e.running++
+	running := e.running - 1
 	delay := firstEventDelay + time.Duration(e.running)*slowdownPerRequest
 	e.mu.Unlock()
 	defer func() {
@@ -110,6 +112,9 @@
 		defer e.mu.Unlock()
 		e.running--
 	}()
+	if e.turnAway(w, r.RemoteAddr, running) {
+		return
+	}
 	if e.pause(r.Context(), delay) {
 		e.respond(w, r)
 	}
@@ -144,6 +149,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.announce(h, r.RemoteAddr)
 	w.WriteHeader(http.StatusOK)
 }
 
