Do not append another response to a stream that is resumed

Callers saw a stream that looked complete but ended early: when its first endpoint broke off and the endpoint that was asked for the rest responded with a status such as 404 or 302, the body of that response followed the last event and the stream was ended as complete.

Cause: relayBuffered, which relays everything but a 2xx response to a stream, did not check whether the header was already sent. Only 5xx responses were kept back. net/http logged "superfluous response.WriteHeader call".

Change: such a response is a failed attempt. The stream is resumed at another endpoint while attempts and the retry budget allow it, and otherwise aborted.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,6 +34,11 @@
 	if response.status >= http.StatusInternalServerError {
 		return &failure{reason: reasonEndpointFailed, result: placement.Errored, mayHaveRun: true, sent: true, response: &response}
 	}
+	if j.headerSent {
+		// The response cannot be the rest of the stream that the caller already receives.
+		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "status": response.status}).Info("gateway: endpoint did not resume the stream")
+		return &failure{reason: reasonEndpointFailed, result: placement.Served, mayHaveRun: true, sent: true}
+	}
 	j.sendResponse(response)
 	return nil
 }
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -221,3 +221,21 @@
 		})
 	}
 }
+
+func TestResumedStreams(t *testing.T) {
+	const header = "\r\nX-Request-Id: id-1\r\nX-Server-Stamp: stamp\r\nContent-Length: 4\r\n"
+	broken := rawResponse{body: eventsUpTo(3) + "id: 4\n"}
+	for _, status := range []string{"404 Not Found", "302 Found", "500 Internal Server Error"} {
+		other := rawResponse{head: "HTTP/1.1 " + status + header, body: "gone"}
+		Convey("a stream does not go on with the body of a response "+status+" to its resumption", t, func() {
+			resp, _ := sendOnce("POST", "/plan/", broken, other, other)
+			So(resp, ShouldResemble, response{status: 200, header: resp.header, body: eventsUpTo(3), truncated: true})
+		})
+		Convey("a stream goes on at another endpoint after a response "+status+" to its resumption", t, func() {
+			rest := rawResponse{body: strings.TrimPrefix(eventsUpTo(9), eventsUpTo(3))}
+			resp, requests := sendOnce("POST", "/plan/", broken, other, rest)
+			So(resp, ShouldResemble, response{status: 200, header: resp.header, body: eventsUpTo(9)})
+			So(requests, ShouldEqual, 3)
+		})
+	}
+}
