Do not end a stream as complete when its resumption ends without an event

Callers saw a stream that looked complete but ended early: its first endpoint broke off, and the endpoint that was asked for the rest sent the header of a response without a length or chunks and closed the connection, as a process does that exits. The same response to a new stream already counted as broken off.

Cause: relayStream took any end between two events for the whole once the header was sent, although this endpoint had sent nothing of the stream.

Change: a resumption that ends without an event is complete only if its length or last chunk says so. Otherwise it is a failed attempt. An endpoint that has nothing to add and ends with the connection is also asked again elsewhere; a stream that cannot be completed so is aborted, and the caller may resume it.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,10 +71,10 @@
 func (j *job) relayStream(a *attempt) *failure {
 	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
-	resumed := j.headerSent
+	resumed, received := j.headerSent, false
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && j.headerSent {
+		if errors.Is(err, io.EOF) && j.headerSent && (received || isFramed(a.resp)) {
 			return nil
 		}
 		if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
@@ -84,6 +84,7 @@
 			j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.eventCount}).WithError(err).Info("gateway: stream is truncated or invalid")
 			return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 		}
+		received = true
 		if ev.hasID && resumed && ev.id <= j.lastEventID {
 			continue
 		}
@@ -111,6 +112,12 @@
 	}
 }
 
+// isFramed reports whether the response has a length or chunks, so that its end is known. Otherwise it ends with the
+// connection, as does a response that breaks off.
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
 // sendStreamHeader sends the header of the first endpoint that responds.
 func (j *job) sendStreamHeader(a *attempt) {
 	j.firstEventLatency = j.gateway.config.Clock.Since(j.started)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -238,4 +238,20 @@
 			So(requests, ShouldEqual, 3)
 		})
 	}
+	Convey("a stream does not look complete if the response to its resumption has neither a length nor an event", t, func() {
+		resp, requests := sendOnce("POST", "/plan/", broken, rawResponse{}, rawResponse{})
+		So(resp, ShouldResemble, response{status: 200, header: resp.header, body: eventsUpTo(3), truncated: true})
+		So(requests, ShouldEqual, 3)
+		resp, _ = sendOnce("POST", "/plan/", broken, rawResponse{}, rawResponse{body: strings.TrimPrefix(eventsUpTo(9), eventsUpTo(3))})
+		So(resp, ShouldResemble, response{status: 200, header: resp.header, body: eventsUpTo(9)})
+	})
+	Convey("a stream that broke off after its last event is completed by an empty response to its resumption", t, func() {
+		for _, empty := range []rawResponse{
+			{head: unframedHead + "Content-Length: 0\r\n"}, {head: unframedHead + "Transfer-Encoding: chunked\r\n", body: "0\r\n\r\n"},
+		} {
+			resp, requests := sendOnce("POST", "/plan/", broken, empty)
+			So(resp, ShouldResemble, response{status: 200, header: resp.header, body: eventsUpTo(3)})
+			So(requests, ShouldEqual, 2)
+		}
+	})
 }
