Read event lines of 4096 bytes and more as whole lines

Callers of streams with long events saw two faults. A stream that broke off after a data line of exactly 4096, 8192 ... bytes, before the event's empty line, looked complete and its last event was incomplete. And data that had "id:" at such a position broke a sound stream off, or replaced the event's id, so that a resumption repeated or lost events.

Cause: eventReader reads lines in pieces of its buffer's size and looked at each piece as if it were a line. A line end alone in a piece was taken for the empty line, and a piece that began with "id:" for an id.

Change: a line is looked at once it is whole. An event beyond the limit is now always reported as too large, not as a full buffer.

Measured: TestLongLines, 7 of 8 cases failed before, for lines of 1, 2 and 3 pieces with LF and CRLF and for an id in data; the case of a too large event passed.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -33,21 +33,23 @@
 // io.ErrUnexpectedEOF if it ends within one.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	lineStart := 0
 	for {
-		line, err := e.in.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(ev.raw) <= maxEventBytes {
+		// A line that is longer than the buffer arrives in pieces.
+		piece, err := e.in.ReadSlice('\n')
+		ev.raw = append(ev.raw, piece...)
+		switch {
+		case len(ev.raw) > maxEventBytes:
+			return event{}, errEventTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		}
-		if err == io.EOF && len(ev.raw) > 0 {
+		case err == io.EOF && len(ev.raw) > 0:
 			return event{}, io.ErrUnexpectedEOF
-		}
-		if err != nil {
+		case err != nil:
 			return event{}, err
 		}
-		if len(ev.raw) > maxEventBytes {
-			return event{}, errEventTooLarge
-		}
+		line := ev.raw[lineStart:]
+		lineStart = len(ev.raw)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return ev, nil
 		}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -255,3 +255,35 @@
 		}
 	})
 }
+
+func TestLongLines(t *testing.T) {
+	// Lines are read in pieces. The ends of the pieces must not be mistaken for the ends of lines.
+	const piece = 4096
+	for _, newline := range []string{"\n", "\r\n"} {
+		for _, pieces := range []int{1, 2, 3} {
+			Convey(fmt.Sprintf("an event whose line ends near the end of piece %d with %q passes whole and is incomplete without its empty line", pieces, newline), t, func() {
+				for n := pieces*piece - 3; n <= pieces*piece+1; n++ {
+					line := fmt.Sprintf("data: %0*d", n-len("data: "), 0) + newline
+					whole := "id: 1" + newline + line + newline
+					resp, _ := sendOnce("POST", "/note/", rawResponse{body: whole})
+					SoMsg(strconv.Itoa(n), !resp.truncated && resp.body == whole, ShouldBeTrue)
+					resp, _ = sendOnce("POST", "/note/", rawResponse{body: whole + line})
+					SoMsg(strconv.Itoa(n), resp.truncated && resp.body == whole, ShouldBeTrue)
+				}
+			})
+		}
+	}
+	Convey("data at the beginning of a piece is not the id of its event", t, func() {
+		for _, data := range []string{"id: none", "id: 99"} {
+			event := fmt.Sprintf("id: 1\ndata: %0*d%s\n\n", piece-len("data: "), 0, data)
+			second := "id: 2\ndata: piece 2\n\n"
+			resp, _ := sendOnce("POST", "/plan/", rawResponse{body: event + "id: 2\nda"}, rawResponse{body: event + second})
+			So(resp.truncated, ShouldBeFalse)
+			So(resp.body == event+second, ShouldBeTrue)
+		}
+	})
+	Convey("an event that is too large breaks its stream off", t, func() {
+		resp, _ := sendOnce("POST", "/note/", rawResponse{body: eventsUpTo(1) + "data: " + strings.Repeat("x", 1<<20) + "\n\n"})
+		So(resp.truncated && resp.body == eventsUpTo(1), ShouldBeTrue)
+	})
+}
