Relay responses without a body on streaming routes, and the length in HEAD

Callers that sent HEAD to a streaming route, or whose stream was answered 204, got 502 although the endpoint's response was complete; on resumable routes the request was also sent to further endpoints. The response to each HEAD said Content-Length: 0 instead of the endpoint's length.

Cause: relayStream takes a response without an event for a broken one, also where the method or status allows no body. sendResponse set the length of the body that it had read, which is empty for HEAD.

Change: such responses are relayed like buffered ones, and a HEAD response keeps the endpoint's length or has none.

Measured: in TestUnframedResponses, the cases of HEAD and 204 on streaming routes (got 502) and the length of HEAD (got "0" for "5") failed before; all pass now, as does the package, 2 runs.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,7 +47,9 @@
 func (j *job) sendResponse(resp bufferedResponse) {
 	j.status = resp.status
 	j.setResponseHeader(resp.header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	if j.r.Method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	j.w.WriteHeader(resp.status)
 	if _, err := j.w.Write(resp.body); err != nil && j.r.Method != http.MethodHead {
 		j.reason = reasonCallerCanceled
@@ -69,6 +71,10 @@
 
 // relayStream passes on a stream event by event.
 func (j *job) relayStream(a *attempt) *failure {
+	if !j.headerSent && (j.r.Method == http.MethodHead || a.resp.StatusCode == http.StatusNoContent) {
+		// The response has no body and so is complete without an event.
+		return j.relayBuffered(a)
+	}
 	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
 	resumed, received := j.headerSent, false
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -174,7 +174,8 @@
 			method, path, status string
 			want                 int
 		}{
-			{"HEAD", "/status/", "200 OK", 200}, {"POST", "/status/", "204 No Content", 204}, {"GET", "/status/", "304 Not Modified", 304},
+			{"HEAD", "/status/", "200 OK", 200}, {"HEAD", "/note/", "200 OK", 200}, {"HEAD", "/plan/", "200 OK", 200},
+			{"POST", "/status/", "204 No Content", 204}, {"POST", "/note/", "204 No Content", 204}, {"GET", "/status/", "304 Not Modified", 304},
 		} {
 			for _, framing := range []string{"", "Connection: close\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"} {
 				raw := rawResponse{head: "HTTP/1.1 " + c.status + "\r\nX-Request-Id: id-1\r\nX-Server-Stamp: stamp\r\n" + framing}
@@ -185,6 +186,13 @@
 			}
 		}
 	})
+	Convey("the length in the response to HEAD is that of the endpoint", t, func() {
+		for _, c := range []struct{ framing, length string }{{"Content-Length: 5\r\n", "5"}, {"", ""}, {"Transfer-Encoding: chunked\r\n", ""}} {
+			resp, _ := sendOnce("HEAD", "/status/", rawResponse{head: unframedHead + c.framing})
+			So(resp, ShouldResemble, response{status: 200, header: resp.header})
+			So(resp.header.Get("Content-Length"), ShouldEqual, c.length)
+		}
+	})
 	Convey("informational responses before the response are dropped", t, func() {
 		resp, requests := sendOnce("POST", "/status/", rawResponse{head: "HTTP/1.1 103 Early Hints\r\nX-Request-Id: id-0\r\n\r\n" + unframedHead, body: "x"})
 		So(resp, ShouldResemble, response{status: 200, header: resp.header, body: "x"})
