Do not pass on a response that switches protocols

A caller whose endpoint responded with 101 got that response, although it had not asked for another protocol, and then what its HTTP client could not read: net/http stops at a 101 that was not asked for.

Cause: relayBuffered passed on every status below 500.

Change: a 101 is an invalid response and counts as a failed attempt.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,6 +22,11 @@
 
 // relayBuffered reads the whole response and then passes it on.
 func (j *job) relayBuffered(a *attempt) *failure {
+	if a.resp.StatusCode == http.StatusSwitchingProtocols {
+		// No request asks for another protocol: ForwardHeader drops Upgrade.
+		j.logger().WithField("endpoint", a.ticket.Endpoint.ID).Info("gateway: endpoint switched protocols")
+		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
+	}
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
 	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
 		return j.unresponsiveFailure(a.ticket)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -200,6 +200,18 @@
 	})
 }
 
+func TestProtocolSwitch(t *testing.T) {
+	// A caller's connection must not be switched to a protocol that it did not ask for.
+	Convey("a response that switches protocols is no response", t, func() {
+		raw := rawResponse{head: "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: id-1\r\nConnection: upgrade\r\nUpgrade: x\r\n", body: "bytes"}
+		resp, requests := sendOnce("POST", "/status/", raw)
+		So(resp.status, ShouldEqual, 502)
+		So(requests, ShouldEqual, 1)
+		resp, _ = sendOnce("POST", "/fetch/", raw, rawResponse{body: "x"})
+		So(resp, ShouldResemble, response{status: 200, header: resp.header, body: "x"})
+	})
+}
+
 func TestAbortedResponses(t *testing.T) {
 	for name, handle := range map[string]http.HandlerFunc{
 		"breaks off": respondRaw(rawResponse{body: eventsUpTo(3) + "id: 4"}),
