--- a/server/unframed_test.go
+++ b/server/unframed_test.go
@@ -70,5 +70,9 @@
 				So(got.header.Get("Content-Length"), ShouldNotEqual, "0")
 			})
 		}
+		Convey("a response that switches protocols is no response", func() {
+			r.respondRaw("HTTP/1.1 101 Switching Protocols", "Connection: upgrade\r\nUpgrade: x\r\n\r\nbytes", false)
+			So(decodeProblem(r.send("POST", "/plans/7", "x")).Outcome, ShouldEqual, outcomeUnknown)
+		})
 	})
 }
