--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,6 +22,11 @@
 
 // relayBuffered reads the whole response and then passes it on.
 func (j *job) relayBuffered(a *attempt) *failure {
+	if a.resp.StatusCode == http.StatusSwitchingProtocols {
+		// No request asks for another protocol: ForwardHeader drops Upgrade.
+		j.logger().WithField("endpoint", a.ticket.Endpoint.ID).Info("gateway: endpoint switched protocols")
+		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
+	}
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
 	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
 		return j.unresponsiveFailure(a.ticket)
@@ -34,6 +39,11 @@
 	if response.status >= http.StatusInternalServerError {
 		return &failure{reason: reasonEndpointFailed, result: placement.Errored, mayHaveRun: true, sent: true, response: &response}
 	}
+	if j.headerSent {
+		// The response cannot be the rest of the stream that the caller already receives.
+		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "status": response.status}).Info("gateway: endpoint did not resume the stream")
+		return &failure{reason: reasonEndpointFailed, result: placement.Served, mayHaveRun: true, sent: true}
+	}
 	if response.status/100 == 2 {
 		j.recordBegun()
 	}
@@ -45,7 +55,9 @@
 func (j *job) sendResponse(resp bufferedResponse) {
 	j.status = resp.status
 	j.setResponseHeader(resp.header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	if j.r.Method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	j.w.WriteHeader(resp.status)
 	if _, err := j.w.Write(resp.body); err != nil && j.r.Method != http.MethodHead {
 		j.reason = reasonCallerCanceled
@@ -67,13 +79,17 @@
 
 // relayStream passes on a stream event by event.
 func (j *job) relayStream(a *attempt) *failure {
+	if !j.headerSent && (j.r.Method == http.MethodHead || a.resp.StatusCode == http.StatusNoContent) {
+		// The response has no body and so is complete without an event.
+		return j.relayBuffered(a)
+	}
 	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
 	resumed, received := j.headerSent, 0
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && j.headerSent {
-			if !j.attemptBegun {
+		if errors.Is(err, io.EOF) && j.headerSent && (received > 0 || isFramed(a.resp)) {
+			if !j.attemptBegun && isFramed(a.resp) {
 				j.recordBegun()
 			}
 			return nil
@@ -114,6 +130,12 @@
 	}
 }
 
+// isFramed reports whether the response has a length or chunks, so that its end is known. Otherwise it ends with the
+// connection, as does a response that breaks off.
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
 // sendStreamHeader sends the header of the first endpoint that responds.
 func (j *job) sendStreamHeader(a *attempt) {
 	j.firstEventLatency = j.gateway.config.Clock.Since(j.started)
