Pass on framed streams without events, and refuse statuses that are not final

Callers that resumed a stream after its last event, and got a response that has chunks or a length and no event, saw 502 after up to three endpoints had answered; and a status below 100 made the handler panic, so that the connection ended without an answer.

--- a/gateway/given_up_early_test.go
+++ b/gateway/given_up_early_test.go
@@ -193,3 +193,33 @@
 		})
 	}
 }
+
+// TestInvalidStatusOfAnEndpoint guards against a panic that closes the caller's connection without an answer.
+func TestInvalidStatusOfAnEndpoint(t *testing.T) {
+	Convey("a response with a status that cannot be passed on gets an answer", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, "HTTP/1.1 099 x\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx")
+				}
+				conn.Close()
+			}
+		}()
+		e := newFakeEndpoint("i-1", respondNotRun)
+		e.server.URL = "http://" + l.Addr().String()
+		h := newHarness(e)
+		Reset(h.close)
+		resp := h.send("POST", "/fetch/", "b", nil)
+		So(resp.truncated, ShouldBeFalse)
+		So(resp.status, ShouldEqual, 502)
+	})
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,9 +22,9 @@
 
 // relayBuffered reads the whole response and then passes it on.
 func (j *job) relayBuffered(a *attempt) *failure {
-	if a.resp.StatusCode == http.StatusSwitchingProtocols {
-		// No request asks for another protocol: ForwardHeader drops Upgrade.
-		j.logger().WithField("endpoint", a.ticket.Endpoint.ID).Info("gateway: endpoint switched protocols")
+	if a.resp.StatusCode < http.StatusOK {
+		// No request asks for another protocol: ForwardHeader drops Upgrade. Statuses below 100 are not valid.
+		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "status": a.resp.StatusCode}).Info("gateway: response status is not final")
 		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 	}
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
@@ -88,7 +88,10 @@
 	resumed, received := j.headerSent, 0
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && j.headerSent && (received > 0 || isFramed(a.resp)) {
+		if errors.Is(err, io.EOF) && (j.headerSent && received > 0 || isFramed(a.resp)) {
+			if !j.headerSent {
+				j.sendStreamHeader(a)
+			}
 			if !j.attemptBegun && isFramed(a.resp) {
 				j.recordBegun()
 			}
