--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,11 +26,49 @@
 
 // attempt is one try to get a response from one endpoint.
 type attempt struct {
-	ticket   *placement.Ticket
-	ctx      context.Context
+	ticket  *placement.Ticket
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	request *http.Request
+	// written is set once the header of the request was sent.
+	written  atomic.Bool
 	watchdog *watchdog
 	resp     *http.Response
 	meta     ResponseMeta
+	events   *eventReader
+	// peeked is an event that was read before the attempt is relayed, or nil.
+	peeked *peekedEvent
+}
+
+// peekedEvent is a result of eventReader.next.
+type peekedEvent struct {
+	event event
+	err   error
+}
+
+// newAttempt prepares an attempt at the endpoint of the ticket. It must be closed.
+func (j *job) newAttempt(ticket *placement.Ticket) *attempt {
+	a := &attempt{ticket: ticket}
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	a.ctx, a.cancel = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { a.written.Store(true) }}), cancel
+	a.request = j.endpointRequest(a.ctx, ticket.Endpoint)
+	return a
+}
+
+// nextEvent returns the next event of a stream.
+func (a *attempt) nextEvent() (event, error) {
+	if p := a.peeked; p != nil {
+		a.peeked = nil
+		return p.event, p.err
+	}
+	return a.events.next()
+}
+
+func (a *attempt) close() {
+	a.cancel(nil)
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+	}
 }
 
 // failure describes an attempt that produced no complete response for the caller.
@@ -71,16 +109,25 @@
 			return j.giveUp(j.preferErrorResponse(*f))
 		}
 		last = *f
-		g.metrics.retried[f.reason].Inc(1)
-		j.logger().WithFields(log.Fields{"reason": string(f.reason), "endpoint": ticket.Endpoint.ID, "last_event": j.lastEventID}).
-			Info("gateway: retrying the request")
+		j.recordRetry(ticket, f.reason)
 	}
 }
 
-// nextTicket returns the reserved attempt, or chooses an endpoint. If there is none, it returns the failure to end with.
+// recordRetry records that the request goes on at another endpoint after an attempt failed. A standby attempt was counted when
+// it was sent.
+func (j *job) recordRetry(failed *placement.Ticket, failure reason) {
+	message := "gateway: standby attempt takes over"
+	if j.standby == nil {
+		message = "gateway: retrying the request"
+		j.gateway.metrics.retried[failure].Inc(1)
+	}
+	j.logger().WithFields(log.Fields{"reason": string(failure), "endpoint": failed.Endpoint.ID, "last_event": j.lastEventID}).Info(message)
+}
+
+// nextTicket returns that of the standby attempt, or chooses an endpoint. If there is none, it returns the failure to end with.
 func (j *job) nextTicket(last failure) (*placement.Ticket, *failure) {
-	if t := j.takeReserved(); t != nil {
-		return t, nil
+	if j.standby != nil {
+		return j.standby.attempt.ticket, nil
 	}
 	choice := j.pickEndpoint(last)
 	var missing failure
@@ -170,7 +217,7 @@
 	switch {
 	case f.reason == reasonCallerCanceled, j.ctx.Err() != nil, j.remainingTime() < minRemainingTime:
 		return false
-	case j.reserved != nil:
+	case j.awaitStandby():
 		return true
 	case j.mayHaveRun && !j.route.Retryable():
 		return false
@@ -190,6 +237,7 @@
 // giveUp ends the request after its last failure. It passes on the endpoint's error response if there is one, and
 // otherwise returns the refusal.
 func (j *job) giveUp(f failure) *refusal {
+	j.releaseStandby(string(f.reason))
 	switch {
 	case f.reason == reasonCallerCanceled:
 		return &refusal{reason: reasonCallerCanceled}
@@ -210,30 +258,54 @@
 
 // exchange sends the request to the endpoint of the ticket and relays its response.
 func (j *job) exchange(ticket *placement.Ticket) *failure {
-	g := j.gateway
-	ctx, cancel := context.WithCancelCause(j.ctx)
-	defer cancel(nil)
-	var wd *watchdog
+	defer j.settleStandbys()
+	s := j.takeStandby()
+	var a *attempt
+	if s != nil {
+		// The standby attempt of the request already sent it.
+		a = s.attempt
+	} else {
+		a = j.newAttempt(ticket)
+	}
+	defer a.close()
 	if j.route.Retryable() {
-		j.setMovable(ticket)
+		j.setMovable(a)
 		defer j.setMovable(nil)
-		move := func(since time.Time, period time.Duration) bool { return j.reserveMove(ticket, since, period) }
-		wd = startWatchdog(ticket, j.route, move, cancel, g.config.Clock.Now)
-		defer wd.stop()
+		move := func(since time.Time, period time.Duration) { j.tryMove(a, since, period) }
+		a.watchdog = startWatchdog(ticket, j.route, move, j.gateway.config.Clock.Now)
+		defer a.watchdog.stop()
+	}
+	var f *failure
+	if s != nil {
+		<-s.done
+		f = s.failure
+	} else {
+		f = j.send(a)
+	}
+	if f != nil {
+		return f
 	}
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
+	return j.relay(a)
+}
+
+// send sends the request of an attempt and receives the header of the response. It returns a failure if there is none, or one
+// that cannot be passed on.
+func (j *job) send(a *attempt) *failure {
+	g, ticket := j.gateway, a.ticket
 	g.metrics.attempts.Inc(1)
 	sentAt := g.config.Clock.Now()
-	resp, err := g.transport.RoundTrip(j.endpointRequest(ctx, ticket.Endpoint))
-	if err != nil && errors.Is(context.Cause(ctx), errUnresponsive) {
+	resp, err := g.transport.RoundTrip(a.request)
+	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
 		return j.unresponsiveFailure(ticket)
 	}
+	if err != nil && errors.Is(context.Cause(a.ctx), errStandbyDropped) {
+		sent := a.written.Load()
+		return &failure{reason: reasonResponseLost, result: placement.Canceled, mayHaveRun: sent, sent: sent}
+	}
 	if err != nil {
-		return j.roundTripFailure(ticket, err, written.Load())
+		return j.roundTripFailure(ticket, err, a.written.Load())
 	}
-	defer resp.Body.Close()
-	a := &attempt{ticket: ticket, ctx: ctx, watchdog: wd, resp: resp, meta: g.config.Headers.ParseResponse(resp.StatusCode, resp.Header)}
+	a.resp, a.meta, a.events = resp, g.config.Headers.ParseResponse(resp.StatusCode, resp.Header), newEventReader(resp.Body)
 	if a.meta.RequestID != "" && a.meta.RequestID != j.meta.ID {
 		j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.meta.RequestID}).Warn("gateway: dropped a response to another request")
 		return &failure{reason: reasonResponseMismatch, result: placement.Served, mayHaveRun: true, sent: true}
@@ -247,9 +319,21 @@
 	if a.meta.NotRun {
 		return j.notRunFailure(a)
 	}
-	if j.route.Mode == routing.Streaming && resp.StatusCode/100 == 2 {
+	return nil
+}
+
+// relay passes on the response of an attempt.
+func (j *job) relay(a *attempt) *failure {
+	if j.route.Mode == routing.Streaming && a.resp.StatusCode/100 == 2 {
 		return j.relayStream(a)
 	}
+	if a.resp.StatusCode < http.StatusInternalServerError && !j.headerSent {
+		if !j.keep() {
+			return j.unresponsiveFailure(a.ticket)
+		}
+		a.ticket.RecordProgress(j.gateway.config.Clock.Now())
+		j.resumeWatch(a)
+	}
 	return j.relayBuffered(a)
 }
 
--- a/gateway/given_up_early_test.go
+++ b/gateway/given_up_early_test.go
@@ -21,10 +21,13 @@
 )
 
 // preferFirst makes the gateway prefer the first endpoint by listing the others in another failure domain.
-func (h *harness) preferFirst() {
+func (h *harness) preferFirst() { h.listFirst(len(h.endpoints)) }
+
+// listFirst makes only the first n endpoints known to the gateway, which prefers the first of all.
+func (h *harness) listFirst(n int) {
 	set := registry.NewSet()
 	var list []registry.Endpoint
-	for i, e := range h.endpoints {
+	for i, e := range h.endpoints[:n] {
 		listed := e.registration()
 		if i > 0 {
 			listed.Domain = "hall-b"
@@ -190,3 +193,36 @@
 		})
 	}
 }
+
+// TestSilentEndpointKeepsItsRequestUntilAnotherTakesIt guards against a request that is canceled at a silent endpoint and then
+// turned down by the one it was to move to.
+func TestSilentEndpointKeepsItsRequestUntilAnotherTakesIt(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+		handle, second   http.HandlerFunc
+		secondDown       bool
+	}{
+		{name: "a stream, if the other endpoint is busy", path: "/plan/", handle: goOnAfterSilence, second: respondNotRun, body: eventsUpTo(3)},
+		{name: "a stream, if the other endpoint fails", path: "/plan/", handle: goOnAfterSilence, second: respondWith(500, "x"), body: eventsUpTo(3)},
+		{name: "a stream, if the other endpoint cannot be reached", path: "/plan/", handle: goOnAfterSilence, second: respondNotRun, secondDown: true, body: eventsUpTo(3)},
+		{name: "an idempotent request, if the other endpoint is busy", path: "/fetch/", handle: respondAfterSilence, second: respondNotRun, body: "x"},
+	} {
+		Convey("a silent endpoint goes on with "+c.name, t, func() {
+			first, second := newFakeEndpoint("i-1", c.handle), newFakeEndpoint("i-2", c.second)
+			h := newHarness(first, second)
+			Reset(h.close)
+			h.preferFirst()
+			h.shortenObjectives()
+			h.setAttempts(2)
+			h.restart()
+			if c.secondDown {
+				second.server.Close()
+			}
+			resp := h.send("POST", c.path, "b", nil)
+			So(first.requestCount(), ShouldEqual, 1)
+			So(resp.truncated, ShouldBeFalse)
+			So(resp.status, ShouldEqual, 200)
+			So(resp.body, ShouldEqual, c.body)
+		})
+	}
+}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -29,7 +29,7 @@
 	maxDialFailures = 4
 )
 
-// job is the state of one request in progress. It belongs to one goroutine, apart from what reserveMove reads.
+// job is the state of one request in progress. It belongs to one goroutine, apart from what mu guards.
 type job struct {
 	gateway *Gateway
 	w       http.ResponseWriter
@@ -62,10 +62,17 @@
 	// lastErrorResponse is the last failure that includes a response of an endpoint.
 	lastErrorResponse *failure
 
-	// mu guards movable, reserved, stayLogged, headerSent and the origin while an attempt is in progress.
+	// mu guards movable, standby with its state, ended and stayLogged. While movable is set, the watchdog also uses the other
+	// fields that tell where the request may be sent and with which header, holding mu: triedEndpoints, sentCount, dialFailures,
+	// headerSent, eventCount, lastEventID and the origin. The job's goroutine changes these only while movable is nil.
+	// Between two attempts, only the job's goroutine uses the job, apart from the state of the standby attempt.
 	mu sync.Mutex
-	// movable is the attempt in progress that may move to another endpoint, which is then reserved.
-	movable, reserved *placement.Ticket
+	// movable is the attempt in progress if the request may move from its endpoint to another one.
+	movable *attempt
+	// standby is the second attempt in progress, or nil. The job counts it among its attempts once it took over or ended.
+	standby *standby
+	// ended are the standby attempts that are not part of the job's totals yet.
+	ended standbyTally
 	// stayLogged is set once it is logged that the request stays at a silent endpoint.
 	stayLogged bool
 
@@ -234,7 +241,7 @@
 		return
 	}
 	j.finished = true
-	j.releaseReserved()
+	j.releaseStandby(dropFirstDone)
 	if j.cancel != nil {
 		j.cancel()
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -8,14 +8,15 @@
 	"pumiceshelf/placement"
 )
 
-// reserveMove reserves an attempt at another endpoint, for a request whose endpoint has been silent since the given time. It
-// returns false if the request must stay: its attempts or the retry budget are used up, or no endpoint that responded within the
+// tryMove sends a standby attempt to another endpoint, for a request whose endpoint has been silent since the given time. It does
+// nothing if the request must stay: its attempts or the retry budget are used up, or no endpoint that responded within the
 // period may take it. The watchdog calls it while the job's goroutine waits for the endpoint.
-func (j *job) reserveMove(t *placement.Ticket, since time.Time, period time.Duration) bool {
+func (j *job) tryMove(a *attempt, since time.Time, period time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.movable != t {
-		return false
+	t := a.ticket
+	if j.movable != a || !t.UnresponsiveSince(since) {
+		return
 	}
 	g := j.gateway
 	now := g.config.Clock.Now()
@@ -23,57 +24,56 @@
 	if until := t.RecordSilence(now); !until.IsZero() {
 		logger.WithFields(log.Fields{"reason": string(reasonUnresponsive), "until_ms": until.Sub(now).Milliseconds()}).Info("gateway: endpoint ejected")
 	}
-	blocker := j.reserve(period, now)
-	if blocker != "" && !j.stayLogged {
+	if j.standby != nil {
+		j.dropSilentStandby(now)
+		return
+	}
+	reserved, blocker := j.reserve(period, now)
+	switch {
+	case reserved != nil:
+		j.startStandby(a, reserved, now)
+	case !j.stayLogged:
 		j.stayLogged = true
 		logger.WithField("reason", blocker).Info("gateway: request stays at a silent endpoint")
 	}
-	return blocker == ""
 }
 
-// reserve takes an endpoint and a retry for reserveMove. It returns what it lacks, or an empty string.
-func (j *job) reserve(period time.Duration, now time.Time) (blocker string) {
+// reserve takes an endpoint and a retry for tryMove. It returns what it lacks if there is none.
+func (j *job) reserve(period time.Duration, now time.Time) (reserved *placement.Ticket, blocker string) {
 	g := j.gateway
 	instances := g.config.InstanceCount()
 	switch {
 	case j.ctx.Err() != nil, j.remainingTime() < minRemainingTime:
-		return "no-time"
-	case j.sentCount+1 >= j.route.MaxAttempts:
-		return "no-attempt"
+		return nil, "no-time"
+	case j.sentCount+j.ended.sent+1 >= j.route.MaxAttempts, j.dialFailures+j.ended.dialFailures >= maxDialFailures:
+		return nil, "no-attempt"
 	case !g.config.RetryBudget.HasRetry(j.service, now, instances):
-		return "no-retry"
+		return nil, "no-retry"
 	}
 	request := j.placementRequest()
 	request.RespondedWithin = period
 	choice := g.config.Chooser.Pick(j.candidates(now), request, j.triedEndpoints, now)
 	if choice.Outcome != placement.Chosen {
-		return string(reasonNoEndpoint)
+		return nil, string(reasonNoEndpoint)
 	}
 	if !g.config.RetryBudget.AllowRetry(j.service, now, instances) {
 		choice.Ticket.Done(placement.Canceled, now)
-		return "no-retry"
+		return nil, "no-retry"
 	}
-	j.reserved = choice.Ticket
-	return ""
+	return choice.Ticket, ""
 }
 
-// setMovable allows moves of the request from the endpoint of an attempt, or ends them if it is nil.
-func (j *job) setMovable(t *placement.Ticket) {
+// setMovable allows moves of the request from the endpoint of the present attempt, or ends them if it is nil.
+func (j *job) setMovable(a *attempt) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.movable = t
-}
-
-// takeReserved returns the reserved attempt, or nil. No attempt may be in progress.
-func (j *job) takeReserved() *placement.Ticket {
-	t := j.reserved
-	j.reserved = nil
-	return t
+	j.movable = a
 }
 
-// releaseReserved gives up a reserved attempt that is not used, because the silent endpoint or the caller ended the request.
-func (j *job) releaseReserved() {
-	if t := j.takeReserved(); t != nil {
-		t.Done(placement.Canceled, j.gateway.config.Clock.Now())
+// resumeWatch makes the watchdog of an attempt, if it has one, watch for the next event.
+func (j *job) resumeWatch(a *attempt) {
+	if a.watchdog != nil {
+		a.watchdog.resume()
+		j.setMovable(a)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -64,11 +64,10 @@
 
 // relayStream passes on a stream event by event.
 func (j *job) relayStream(a *attempt) *failure {
-	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
 	resumed := j.headerSent
 	for {
-		ev, err := events.next()
+		ev, err := a.nextEvent()
 		if errors.Is(err, io.EOF) && j.headerSent {
 			return nil
 		}
@@ -82,6 +81,9 @@
 		if ev.hasID && resumed && ev.id <= j.lastEventID {
 			continue
 		}
+		if !j.keep() {
+			return j.unresponsiveFailure(a.ticket)
+		}
 		a.ticket.RecordProgress(j.gateway.config.Clock.Now())
 		a.watchdog.suspend()
 		j.mayHaveRun = true
@@ -101,7 +103,7 @@
 		if err := control.Flush(); err != nil {
 			return &failure{reason: reasonCallerCanceled, result: placement.Canceled, mayHaveRun: true, sent: true}
 		}
-		a.watchdog.resume()
+		j.resumeWatch(a)
 	}
 }
 
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -28,16 +27,15 @@
 // errUnresponsive is the cancellation cause of a request to an unresponsive endpoint.
 var errUnresponsive = errors.New("gateway: endpoint is unresponsive")
 
-// watchdog cancels a request that makes no progress if its endpoint responds to no other request either, and the request can
-// move to another endpoint. Otherwise the request stays, because a sound endpoint may be silent for a while.
+// watchdog tries to move a request that makes no progress if its endpoint responds to no other request either. The request stays
+// until another endpoint begins to respond, because a sound endpoint may be silent for a while.
 type watchdog struct {
 	ticket *placement.Ticket
 	route  *routing.Route
-	// move reserves an attempt at another endpoint, one that responded within the given period. since is the time of the
-	// request's last progress. It returns false if there is none.
-	move   func(since time.Time, period time.Duration) bool
-	cancel context.CancelCauseFunc
-	now    func() time.Time
+	// move sends a standby attempt to another endpoint, one that responded within the given period, if it can. since is the time
+	// of the request's last progress.
+	move func(since time.Time, period time.Duration)
+	now  func() time.Time
 	// lastProgress is the Unix time of the last progress in nanoseconds.
 	lastProgress   atomic.Int64
 	firstEventSeen atomic.Bool
@@ -50,10 +48,10 @@
 	stopped bool
 }
 
-// startWatchdog starts a watchdog for one request. Without a latency objective on the route, it never cancels the
+// startWatchdog starts a watchdog for one request. Without a latency objective on the route, it never moves the
 // request.
-func startWatchdog(t *placement.Ticket, r *routing.Route, move func(since time.Time, period time.Duration) bool, cancel context.CancelCauseFunc, now func() time.Time) *watchdog {
-	d := &watchdog{ticket: t, route: r, move: move, cancel: cancel, now: now}
+func startWatchdog(t *placement.Ticket, r *routing.Route, move func(since time.Time, period time.Duration), now func() time.Time) *watchdog {
+	d := &watchdog{ticket: t, route: r, move: move, now: now}
 	d.lastProgress.Store(now().UnixNano())
 	if limit := d.stallTimeout(); limit > 0 {
 		d.checkAfter(limit)
@@ -83,10 +81,8 @@
 
 // resume watches for the next event.
 func (d *watchdog) resume() {
-	if d != nil {
-		d.lastProgress.Store(d.now().UnixNano())
-		d.relaying.Store(false)
-	}
+	d.lastProgress.Store(d.now().UnixNano())
+	d.relaying.Store(false)
 }
 
 func (d *watchdog) check() {
@@ -100,14 +96,13 @@
 	overdue := d.now().Sub(since) - limit
 	switch {
 	case d.relaying.Load():
-		d.checkAfter(stallCheckInterval)
 	case overdue < 0:
 		d.checkAfter(-overdue)
-	case d.ticket.UnresponsiveSince(since) && d.move(since, limit/2):
-		d.cancel(errUnresponsive)
-	default:
-		d.checkAfter(stallCheckInterval)
+		return
+	case d.ticket.UnresponsiveSince(since):
+		d.move(since, limit/2)
 	}
+	d.checkAfter(stallCheckInterval)
 }
 
 func (d *watchdog) isStopped() bool {
--- a/gateway/watchdog_internal_test.go
+++ b/gateway/watchdog_internal_test.go
@@ -27,7 +27,7 @@
 		ticket := placement.New(openLimits{}).Pick([]registry.Endpoint{{ID: "i-1", Service: "model"}}, placement.Request{Service: "model"}, nil, now).Ticket
 		moves := 0
 		route := &routing.Route{LatencyObjective: time.Hour}
-		d := startWatchdog(ticket, route, func(time.Time, time.Duration) bool { moves++; return false }, func(error) {}, func() time.Time { return now })
+		d := startWatchdog(ticket, route, func(time.Time, time.Duration) { moves++ }, func() time.Time { return now })
 		d.stop()
 		now = now.Add(3 * time.Hour)
 		d.check()
