--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -132,11 +132,11 @@
 	j.gateway.config.Quarantine.Began(j.meta.sharedParts(), j.gateway.config.Clock.Now())
 }
 
-// recordLoss records that the attempt lost its connection before an answer began, if it did.
-func (j *job) recordLoss(ticket *placement.Ticket, f *failure) {
+// recordLoss records that an attempt lost its connection before an answer began, if it did.
+func (j *job) recordLoss(ticket *placement.Ticket, f *failure, begun bool) {
 	lost := f != nil && f.sent && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
 	parts := j.meta.sharedParts()
-	if !lost || j.attemptBegun || len(parts) == 0 || j.ctx.Err() != nil {
+	if !lost || begun || len(parts) == 0 || j.ctx.Err() != nil {
 		return
 	}
 	j.gateway.crashes.lost(ticket.Endpoint, parts)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,11 +83,10 @@
 		// The response has no body and so is complete without an event.
 		return j.relayBuffered(a)
 	}
-	events := newEventReader(a.resp.Body)
 	control := http.NewResponseController(j.w)
 	resumed, received := j.headerSent, 0
 	for {
-		ev, err := events.next()
+		ev, err := a.nextEvent()
 		if errors.Is(err, io.EOF) && (j.headerSent && received > 0 || isFramed(a.resp)) {
 			if !j.headerSent {
 				j.sendStreamHeader(a)
@@ -110,6 +109,9 @@
 		if ev.hasID && resumed && ev.id <= j.lastEventID {
 			continue
 		}
+		if !j.keep() {
+			return j.unresponsiveFailure(a.ticket)
+		}
 		a.ticket.RecordProgress(j.gateway.config.Clock.Now())
 		a.watchdog.suspend()
 		j.mayHaveRun = true
@@ -129,7 +131,7 @@
 		if err := control.Flush(); err != nil {
 			return &failure{reason: reasonCallerCanceled, result: placement.Canceled, mayHaveRun: true, sent: true}
 		}
-		a.watchdog.resume()
+		j.resumeWatch(a)
 	}
 }
 
