Return the error of reading a control call's response

Operators saw "endpoint: connection_reset: %!w(<nil>)" for a load report, order or cancellation whose response was truncated: the wrong reason, and no error.

Cause: controlCall passed on the error of sending the request, which is nil by then, instead of that of reading the response.

Change: controlError gets the error.

--- a/endpoint/control.go
+++ b/endpoint/control.go
@@ -139,11 +139,11 @@
 	x := c.send(ctx, r)
 	defer x.close()
 	if x.err != nil {
-		return c.controlError(ctx, x)
+		return c.controlError(ctx, x, x.err)
 	}
 	data, err := io.ReadAll(io.LimitReader(x.body(), maxControlResponseBytes))
 	if err != nil {
-		return c.controlError(ctx, x)
+		return c.controlError(ctx, x, err)
 	}
 	switch {
 	case x.res.StatusCode == http.StatusNotFound:
@@ -161,11 +161,11 @@
 	return nil
 }
 
-// controlError returns the error of a failed exchange. Endpoints respond to control calls immediately, so if one timed
-// out, its connection is treated as stalled and discarded.
-func (c *HTTPClient) controlError(ctx context.Context, x *exchange) error {
+// controlError returns the error of an exchange whose sending or reading failed with err. Endpoints respond to control
+// calls immediately, so if one timed out, its connection is treated as stalled and discarded.
+func (c *HTTPClient) controlError(ctx context.Context, x *exchange, err error) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && x.mayHaveSent() {
 		c.discardConnections(x.url, x.transport)
 	}
-	return fmt.Errorf("endpoint: %s: %w", x.failureReason(x.err), errors.Join(x.err, ctx.Err()))
+	return fmt.Errorf("endpoint: %s: %w", x.failureReason(err), errors.Join(err, ctx.Err()))
 }
