Keep returned tokens returned after a successor has closed the lease

An instance that was paused, had returned tokens which it had borrowed, and resumed after another process with its name had started could spend those tokens again, although others had leased them: a customer could get more than its prepaid total.

Cause: returned tokens are a negative lease. The successor closes it, the paused instance finds no lease and sets its limit to all that it borrowed.

Change: once the ledger had a lease of this incarnation, its absence does not raise the limit. An instance whose first return failed keeps its tokens, as before.

Not covered: a first return that takes effect without a response, closed by a successor before this instance has read the ledger.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -32,6 +32,8 @@
 	limit int64
 	// borrowed is the total number of tokens received from the leases of other instances.
 	borrowed int64
+	// leased is set once the ledger had a lease of this incarnation.
+	leased bool
 	// used is the number of tokens that are spent or reserved.
 	used int64
 	// remaining is the part of the budget that the ledger had not committed at readAt.
@@ -155,16 +157,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limit += a.borrowed
+	a.leased = true
 	invariant.Check(limit >= a.used, component, "lease of %d tokens is below the %d used", limit, a.used)
 	a.limit, a.remaining, a.readAt = limit, remaining, now
 	a.grantWaiters()
 }
 
-// dropLease applies a version of the ledger that has no lease of this incarnation: it may spend only borrowed tokens.
+// dropLease applies a version of the ledger that has no lease of this incarnation: it may spend only borrowed tokens. If a
+// later incarnation has closed the lease, those that this one had returned with it are available to others.
 func (a *account) dropLease(remaining int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limit, a.remaining, a.readAt = max(a.used, a.borrowed), remaining, now
+	limit := max(a.used, a.borrowed)
+	if a.leased {
+		limit = min(limit, a.limit)
+	}
+	a.limit, a.remaining, a.readAt = limit, remaining, now
 }
 
 // hasUncoveredWaiter reports whether a waiter needs more tokens than the lease and the remaining budget have.
