Pass tokens that were allocated and not needed back to the token holder

Cause: only leases return to the ledger, and instances that get allocations have none.

Change: an instance that is not the token holder looks every 5 s for tokens that were available all the time since the last look, 500 or more of a customer, and passes them back with a new call of the Fleet service, Return. It counts them as spent before it sends them. The token holder adds them to its own, and releases a surplus with its next update of the ledger. A return names the receiver's incarnation and has a number; the receiver keeps the highest one from each incarnation, so repetitions add nothing however late they arrive, by no clock. Without a response it is repeated for 20 s. Tokens are taken back only if the receiver cannot have them, and otherwise stay unused.

Measured: TestUnusedAllocationsReturn failed before (Expected: 0, Actual: 5000); it now also checks that the token holder or the ledger has them.

--- a/members/members.go
+++ b/members/members.go
@@ -68,6 +68,10 @@
 	Allocate func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation
 	// Abandon takes back the tokens of requests of another instance that did not receive the responses.
 	Abandon func(borrower instance.Incarnation, sequences []uint64)
+	// AcceptReturn adds the tokens that another instance passes back. It returns false if they are for another incarnation.
+	AcceptReturn func(prepaid.Return) bool
+	// TakeBack makes tokens available again that could not be passed back.
+	TakeBack func(tokens map[string]int64)
 	// Limits holds the endpoint limits that this instance exchanges with others.
 	Limits *endpointlimit.Limits
 	// Origins holds the origins of streams that this instance keeps, for itself and for others.
@@ -87,7 +91,10 @@
 	unresponsive unresponsiveSet
 	unanswered   unansweredRequests
 	originQueue  chan origin.Origin
+	returnQueue  chan outgoingReturn
 	lendSequence atomic.Uint64
+	// returnSequence numbers the returns of tokens, which are sent in this order.
+	returnSequence atomic.Uint64
 	// hasListed is set after the first successful listing.
 	hasListed bool
 	// entryVersion is the version of this instance's entry, zero if it is not in the store.
@@ -98,7 +105,7 @@
 func New(c Config) *Members {
 	m := &Members{
 		config: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns}),
-		originQueue: make(chan origin.Origin, originQueueSize),
+		originQueue: make(chan origin.Origin, originQueueSize), returnQueue: make(chan outgoingReturn, 1),
 	}
 	m.applyListing(nil)
 	return m
--- a/members/roster.go
+++ b/members/roster.go
@@ -67,6 +67,16 @@
 	return r
 }
 
+// incarnationAt returns the listed incarnation of another instance, or "" if it is not known.
+func (r *roster) incarnationAt(address string) string {
+	for _, member := range r.others {
+		if member.PeerAddress == address {
+			return member.Incarnation
+		}
+	}
+	return ""
+}
+
 // memberNames returns the names of all instances, or nil if one of the others is known by its address only.
 func memberNames(others []*api.FleetMember, self *api.FleetMember) []string {
 	names := []string{nameOf(self)}
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -39,6 +39,8 @@
 	// remaining is the part of the budget that the ledger had not committed at readAt.
 	remaining int64
 	readAt    time.Time
+	// lowest is the fewest tokens that were available since the last call of takeIdle.
+	lowest int64
 	// waiters are the reservations that wait for a larger lease, in order of arrival.
 	waiters list.List
 	// loanFailedAt is the last time that a loan brought less than was requested.
@@ -95,9 +97,26 @@
 		return false
 	}
 	a.used += tokens
+	a.lowest = min(a.lowest, a.limit-a.used)
 	return true
 }
 
+// takeIdle takes the tokens that have been available ever since its last call, at least the given number or none, to pass
+// them on to another instance. They count as spent.
+func (a *account) takeIdle(least int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	idle := min(a.lowest, a.limit-a.used)
+	if idle < least || a.waiters.Len() > 0 {
+		idle = 0
+	}
+	a.used += idle
+	a.passedOn += idle
+	a.rateBaseline += idle
+	a.lowest = a.limit - a.used
+	return idle
+}
+
 // settle ends a reservation and releases the tokens that it did not spend.
 func (a *account) settle(reserved, spent int64) {
 	a.mu.Lock()
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -36,6 +36,7 @@
 
 	spent                   int64
 	granted, refused, ticks int
+	returned                int64
 }
 
 func newTestFleet(seed uint64, prepaid int64, lossRate float64) *testFleet {
@@ -73,9 +74,32 @@
 	m.config.RequestAllocation = func(_ context.Context, customer string, needed, wanted int64) Allocation {
 		return f.requestAllocation(domain, position, customer, needed, wanted)
 	}
+	m.config.Return = func(tokens map[string]int64) bool { return f.passBack(domain, position, tokens) }
 	return m
 }
 
+// passBack returns tokens to the first instance that is not skipped, and repeats this while the response is lost, as package
+// members does.
+func (f *testFleet) passBack(domain, position int, tokens map[string]int64) bool {
+	m := f.domains[domain][position]
+	for before := range min(position, testHolderCandidates) {
+		if f.skips(m, before) {
+			continue
+		}
+		f.sequence++
+		receiver := f.domains[domain][before]
+		r := Return{Returner: m.config.Incarnation, Receiver: receiver.config.Incarnation, Sequence: f.sequence, Tokens: tokens}
+		for receiver.AcceptReturn(r) && f.random.Float64() < f.lossRate {
+			continue
+		}
+		for _, n := range tokens {
+			f.returned += n
+		}
+		return true
+	}
+	return false
+}
+
 func (f *testFleet) skips(m *Manager, position int) bool {
 	return f.clock.Now().Before(f.unresponsive[m][position])
 }
@@ -205,6 +229,7 @@
 		for _, seed := range []uint64{1, 2, 3} {
 			f := newTestFleet(seed, testPrepaid, 0.05)
 			f.spendMost()
+			So(f.returned, ShouldBeGreaterThan, 0)
 			So(f.parked(), ShouldEqual, 0)
 		}
 	})
--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -254,6 +254,9 @@
 		prepaid := int64(1_000_000)
 		holder, other := newTestManager(ledger, "muscat-1", clock, &prepaid, 1), newTestManager(ledger, "muscat-2", clock, &prepaid, 1)
 		other.config.IsTokenHolder = func() bool { return false }
+		other.config.Return = func(tokens map[string]int64) bool {
+			return holder.AcceptReturn(Return{Returner: other.config.Incarnation, Receiver: holder.config.Incarnation, Sequence: 1, Tokens: tokens})
+		}
 		holder.resizeLeases(t.Context())
 		other.resizeLeases(t.Context())
 		other.account("alwusta").addBorrowed(holder.Allocate(t.Context(), TransferID{}, "alwusta", 5_000, 5_000).Tokens)
@@ -266,5 +269,7 @@
 		}
 		d := other.account("alwusta").demand()
 		So(d.limit-d.used, ShouldEqual, 0)
+		d = holder.account("alwusta").demand()
+		So(d.limit-d.used+prepaid-holder.ledger.committed("alwusta"), ShouldEqual, prepaid)
 	})
 }
--- a/prepaid/ledger.go
+++ b/prepaid/ledger.go
@@ -1,7 +1,8 @@
 // Package prepaid keeps customers within their prepaid budgets. An instance holds a lease for each customer, which it
 // acquires from a shared ledger in the object store by conditional updates, and reserves the tokens of requests from it
 // in memory. In a large failure domain one instance, the token holder, leases tokens from the ledger and allocates them
-// to the others. An instance that is disconnected from the store borrows tokens from other instances.
+// to the others, which pass back what they do not need. An instance that is disconnected from the store borrows tokens
+// from other instances.
 //
 // When a lease ends, the ledger counts its spent tokens as closed and the rest is available again. It counts the whole
 // lease of an earlier incarnation as closed.
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -94,6 +94,15 @@
 	// sequence numbers the requests for tokens, and lost are those whose responses did not arrive.
 	sequence uint64
 	lost     []lostTransfer
+	// returns are the tokens passed back, and their receivers. Each may arrive several times or late.
+	returns []*sentReturn
+}
+
+// sentReturn is a return of tokens, the index of its receiver, and whether its tokens were added to an account.
+type sentReturn struct {
+	Return
+	receiver int
+	added    bool
 }
 
 // lostTransfer is a request for tokens whose response did not arrive, and the index of the lender.
@@ -227,6 +236,34 @@
 				at := rapid.IntRange(0, len(m.lost)-1).Draw(t, "lost")
 				m.managers[m.lost[at].lender].Abandon(m.lost[at].id.Borrower, []uint64{m.lost[at].id.Sequence})
 			},
+			"return": func(t *rapid.T) {
+				from, to := managerIndex.Draw(t, "from"), managerIndex.Draw(t, "to")
+				tokens := m.managers[from].account("alwusta").takeIdle(rapid.SampledFrom([]int64{1, 1, minReturn}).Draw(t, "least"))
+				if tokens == 0 {
+					t.Skip("no idle tokens")
+				}
+				m.sequence++
+				m.returns = append(m.returns, &sentReturn{receiver: to, Return: Return{
+					Returner: m.managers[from].config.Incarnation, Receiver: m.managers[to].config.Incarnation, Sequence: m.sequence,
+					Tokens: map[string]int64{"alwusta": tokens},
+				}})
+			},
+			"return arrives": func(t *rapid.T) {
+				if len(m.returns) == 0 {
+					t.Skip("no returns")
+				}
+				r := m.returns[rapid.IntRange(max(0, len(m.returns)-3), len(m.returns)-1).Draw(t, "return")]
+				receiver := m.managers[r.receiver]
+				before := receiver.account("alwusta").demand().limit
+				if got := receiver.AcceptReturn(r.Return); got != (r.Receiver == receiver.config.Incarnation) {
+					t.Fatalf("return for %s accepted by %s: %t", r.Receiver, receiver.config.Incarnation, got)
+				}
+				added := receiver.account("alwusta").demand().limit - before
+				if added != 0 && (r.added || added != r.Tokens["alwusta"]) {
+					t.Fatalf("%d tokens added for a return of %d, added before: %t", added, r.Tokens["alwusta"], r.added)
+				}
+				r.added = r.added || added != 0
+			},
 			"allocate after abandon": func(t *rapid.T) {
 				from := managerIndex.Draw(t, "from")
 				m.sequence++
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -84,6 +84,9 @@
 	// RequestAllocation requests the tokens that a request needs, up to the wanted number, from the token holder of the
 	// failure domain. The allocation has StoreUnavailable set if no token holder responds.
 	RequestAllocation func(ctx context.Context, customer string, needed, wanted int64) Allocation
+	// Return passes tokens by customer on to the token holder of the failure domain. It returns false if it does not try to.
+	// It is nil if there are no other instances.
+	Return func(tokens map[string]int64) bool
 	// TokenHolderCount returns how many instances lease tokens from the ledger.
 	TokenHolderCount func() int
 }
@@ -100,8 +103,9 @@
 	// allocatedAt is when another instance of the domain last requested an allocation, in Unix nanoseconds.
 	allocatedAt atomic.Int64
 
-	// transfers are the tokens passed on to other instances.
+	// transfers are the tokens passed on to other instances, and returns those passed back by them.
 	transfers transferLog
+	returns   returnLog
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -131,12 +135,15 @@
 	// outageLogged is set while the last logged state of the ledger is unavailable.
 	outageLogged bool
 
+	// returnedAt is when this instance last looked for idle tokens.
+	returnedAt time.Time
+
 	// leasesInAdvance and statusAt are what the last status line said, and when.
 	leasesInAdvance bool
 	statusAt        time.Time
 
-	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent, unanswered, takenBack metrics.Counter
-	unspent                                                                                            metrics.Gauge
+	granted, exhausted, unavailable, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack metrics.Counter
+	unspent                                                                                                      metrics.Gauge
 }
 
 // NewManager returns a manager without leases. Run acquires them.
@@ -147,7 +154,7 @@
 		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
 		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r),
-		takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
+		returned: descReturned.Counter(r), takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
 	}
 }
 
--- a/prepaid/status.go
+++ b/prepaid/status.go
@@ -40,7 +40,7 @@
 	m.leasesInAdvance, m.statusAt = inAdvance, now
 	fields := log.Fields{
 		"in_advance": inAdvance, "first": m.config.IsFirstHolder == nil || m.config.IsFirstHolder(), "unspent": unspent,
-		"borrowed": m.borrowed.Count(), "lent": m.lent.Count(), "unanswered": m.unanswered.Count(), "taken_back": m.takenBack.Count(),
+		"borrowed": m.borrowed.Count(), "lent": m.lent.Count(), "returned": m.returned.Count(), "unanswered": m.unanswered.Count(), "taken_back": m.takenBack.Count(),
 		"updates": m.updates.Count(), "conflicts": m.conflicts.Count(), "ledger_version": uint64(m.version),
 	}
 	if m.config.TokenHolderCount != nil {
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -19,6 +19,7 @@
 		m.account(c)
 	}
 	if m.canSkipUpdate() {
+		m.returnIdle()
 		return
 	}
 	err := m.updateLedger(ctx)
--- a/router/router.go
+++ b/router/router.go
@@ -133,8 +133,10 @@
 		Allocate: func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation {
 			return r.prepaid.Allocate(ctx, id, customer, needed, wanted)
 		},
-		Abandon:    func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
-		Unanswered: func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
+		Abandon:      func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
+		AcceptReturn: func(back prepaid.Return) bool { return r.prepaid.AcceptReturn(back) },
+		TakeBack:     func(tokens map[string]int64) { r.prepaid.TakeBack(tokens) },
+		Unanswered:   func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
 	})
 	r.configurationFollower = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, QueryPeers: r.members.FetchNewerConfiguration,
@@ -147,7 +149,7 @@
 	r.prepaid = prepaid.NewManager(prepaid.Config{
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
 		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, IsFirstHolder: r.members.IsFirstHolder,
-		RequestAllocation: r.members.RequestAllocation, TokenHolderCount: r.members.TokenHolderCount,
+		RequestAllocation: r.members.RequestAllocation, Return: r.members.ReturnTokens, TokenHolderCount: r.members.TokenHolderCount,
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
@@ -260,6 +262,7 @@
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
+	group.Go(func() error { return r.members.RunReturning(background) })
 	group.Go(func() error { return r.members.RunExchangingLimits(background) })
 	group.Go(func() error { return r.members.RunPassingOrigins(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
