Make the test of streams with outdated endpoints guard what it names

No change for callers or operators. In TestStreamGoesOnAtItsVersion, the case "the known endpoints may be outdated when it begins" passed without, which it is to guard.

Cause: the age was above the limit in the first look only. Without the look at the first event, the first one was that before the resumption, which refuses too.

Change: the endpoints are outdated until the caller has the first event, and up to date after it. The endpoint breaks the stream off after that.

Measured: with the look at the first event taken out of recordOrigin, the case fails now (Line 168, not truncated) and passed before; with the look at a restarted endpoint taken out, the other case fails, as before. All pass on the code as it is, 3 runs with the race detector.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -179,6 +179,8 @@
 	endpointsAge func() time.Duration
 	registry     metrics.Registry
 	logs         *logRecorder
+	// receivedBytes counts the bytes of response bodies that callers have received.
+	receivedBytes atomic.Int64
 }
 
 func newHarness(endpoints ...*fakeEndpoint) *harness {
@@ -295,6 +297,18 @@
 		return response{truncated: true}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(&countingReader{r: resp.Body, n: &h.receivedBytes})
 	return response{status: resp.StatusCode, header: resp.Header, body: string(text), truncated: err != nil}
 }
+
+// countingReader adds the number of bytes that it reads to n.
+type countingReader struct {
+	r io.Reader
+	n *atomic.Int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -127,9 +127,9 @@
 			change func(h *harness, first *fakeEndpoint)
 		}{
 			{"the known endpoints may be outdated when it begins", func(h *harness, _ *fakeEndpoint) {
-				var known atomic.Bool
 				h.endpointsAge = func() time.Duration {
-					if known.Swap(true) {
+					// They are up to date again once the first event was received.
+					if h.receivedBytes.Load() > 0 {
 						return 0
 					}
 					return 3 * time.Second
@@ -154,7 +154,11 @@
 							c.change(h, e)
 						}
 					}
-					streamEvents(9, 3)(w, r)
+					streamEvents(3, 0)(w, r)
+					for h.receivedBytes.Load() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					panic(http.ErrAbortHandler)
 				}
 				endpoints = []*fakeEndpoint{versioned("i-1", "v1", handle), versioned("i-2", "v1", handle)}
 				h = newHarness(endpoints...)
