Bound the pending outcomes of keyed requests after a failed batch

Operators of an instance that could not make outcomes durable saw its memory grow without a bound, and idempotency's counter of dropped outcomes stand still, once a batch had failed while the queue was full.

Cause: the outcomes of a failed batch went back into the queue without regard to its limit. add drops one only if the queue has exactly as many as the limit, so that it never dropped any again.

Change: both drop the oldest outcomes beyond the limit.

--- a/idempotency/pending.go
+++ b/idempotency/pending.go
@@ -41,14 +41,11 @@
 // add queues an outcome. If the queue is full, the oldest outcome is dropped; the claim of its key then does not change.
 func (p *pendingOutcomes) add(proposal *api.ClaimProposal) {
 	p.mu.Lock()
-	if len(p.queue) == maxPendingOutcomes {
-		p.queue = p.queue[1:]
-		p.manager.counters.pendingDropped.Inc(1)
-	}
 	if len(p.queue)+p.inFlight == 0 {
 		p.drained = make(chan struct{})
 	}
 	p.queue = append(p.queue, proposal)
+	p.dropOldest()
 	p.mu.Unlock()
 	p.updateGauge()
 	select {
@@ -57,6 +54,14 @@
 	}
 }
 
+// dropOldest drops the outcomes beyond the limit. p.mu must be held.
+func (p *pendingOutcomes) dropOldest() {
+	if excess := len(p.queue) - maxPendingOutcomes; excess > 0 {
+		p.queue = p.queue[excess:]
+		p.manager.counters.pendingDropped.Inc(int64(excess))
+	}
+}
+
 func (p *pendingOutcomes) updateGauge() { p.manager.counters.pending.Update(int64(p.size())) }
 
 func (p *pendingOutcomes) size() int {
@@ -135,6 +140,7 @@
 		}
 	}
 	p.queue = append(retries, p.queue...)
+	p.dropOldest()
 	p.inFlight = 0
 	if len(p.queue) == 0 {
 		close(p.drained)
