Count the leases that the quota manager takes

Operators saw quota.lease.taken at zero at all times, next to returned, lost and reclaimed leases that are counted.

Cause: the counter was registered and never increased.

Change: a lease counts as taken when a version of the ledger first lists it.

Measured: TestRun failed before ([0, 1] taken and returned leases for [1, 1]); it passes now, as does the package.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -220,7 +220,11 @@
 // applyToAccount applies a ledger entry to an account and its lease. The caller holds a.mu.
 func (c *ledgerCache) applyToAccount(a *account, entry *api.BudgetLedger, version budget.Version, now time.Time) {
 	if l := a.lease; l != nil {
+		listed := l.Listed()
 		l.Observe(version, budget.FindLease(entry, l.ID()))
+		if l.Listed() && !listed {
+			c.m.counters.leaseAcquired.Inc(1)
+		}
 		if l.Closed() {
 			c.handleClosedLease(a, l)
 		}
--- a/quota/run_test.go
+++ b/quota/run_test.go
@@ -26,6 +26,7 @@
 			n.Settle(ctx, Usage{RequestID: "r", Budget: mainBudget, Generated: 70, Ran: true})
 			So(n.Drain(ctx), ShouldBeNil)
 			So(f.ledger().ClosedSpend, ShouldEqual, 70)
+			So([]int64{n.counters.leaseAcquired.Count(), n.counters.leaseReturned.Count()}, ShouldResemble, []int64{1, 1})
 			cancel()
 			So(<-done, ShouldBeNil)
 		})
