Apply a heartbeat's draining endpoints before it signals capacity

A waiting request could be sent to an endpoint of which the same heartbeat said that it is draining.

Cause: ApplyPeerReport applied the load reports and signalled the capacity that they show, and marked the draining endpoints after it.

Change: it marks them first, as applyLocalLoad does.

Measured: TestDrainingEndpointsOfHeartbeatSignalNoCapacity failed before (the endpoint did not count as leaving when its capacity was signalled); it passes now, as does the package.

--- a/route/poll.go
+++ b/route/poll.go
@@ -166,11 +166,6 @@
 // ApplyPeerReport applies the load reports and draining endpoints from a peer's heartbeat.
 func (b *Balancer) ApplyPeerReport(loads []*api.EndpointLoad, draining []string) {
 	now := b.config.Clock.Now()
-	for _, l := range loads {
-		if b.applyLoad(l) {
-			b.notifyEndpointCapacity(l.Endpoint)
-		}
-	}
 	b.mu.Lock()
 	for _, l := range loads {
 		if l.Leaving {
@@ -180,5 +175,10 @@
 	b.draining.setByPeer(now, draining)
 	b.updateDraining()
 	b.mu.Unlock()
+	for _, l := range loads {
+		if b.applyLoad(l) {
+			b.notifyEndpointCapacity(l.Endpoint)
+		}
+	}
 	b.recordUpdate()
 }
--- a/route/run_test.go
+++ b/route/run_test.go
@@ -50,6 +50,26 @@
 	})
 }
 
+func TestDrainingEndpointsOfHeartbeatSignalNoCapacity(t *testing.T) {
+	Convey("When a heartbeat signals capacity, the endpoints that it names as draining take no requests any more", t, func() {
+		for name, report := range map[string]func(*Balancer, *api.EndpointLoad){
+			"in its list": func(b *Balancer, l *api.EndpointLoad) {
+				b.ApplyPeerReport([]*api.EndpointLoad{l}, []string{l.Endpoint})
+			},
+			"in its load report": func(b *Balancer, l *api.EndpointLoad) {
+				l.Leaving = true
+				b.ApplyPeerReport([]*api.EndpointLoad{l}, nil)
+			},
+		} {
+			f := newFixture(testBundle(1, 1, 8, "a"), instances(1, "a"), 0, "")
+			leaving := []bool{}
+			f.balancer.OnSlotFree(func(string) { leaving = append(leaving, f.status("a-e0").Leaving) })
+			report(f.balancer, &api.EndpointLoad{Endpoint: "a-e0", Running: 1, ReportedUnixMs: f.clock.Now().UnixMilli()})
+			SoMsg(name, leaving, ShouldNotContain, false)
+		}
+	})
+}
+
 // TestRandomOperations runs random operations and checks the balancer's state after each; the invariants in the code are
 // checked as well.
 func TestRandomOperations(t *testing.T) {
