End a routing instance when one of its background tasks fails

An instance of which one background task had ended with an error, for example the server for other instances, went on to answer callers with a configuration, endpoints and leases that nothing kept up to date, and never ended. Load balancers took it out, but open connections stayed.

Cause: Run then stopped the other tasks and the readiness server, but not the callers' server, and waited for it.

Change: Run drains the callers' server as after SIGTERM, within the grace period, and returns the error of the task, which it logs.

--- a/router/router.go
+++ b/router/router.go
@@ -245,7 +245,7 @@
 	return r.table.Load() != nil && r.endpointView.Load() != nil && !r.draining.Load()
 }
 
-// Run serves requests until the context ends, then drains within the grace period and returns.
+// Run serves requests until the context ends or a background task fails, then drains within the grace period and returns.
 func (r *Router) Run(ctx context.Context) error {
 	listeners, err := r.listen()
 	if err != nil {
@@ -271,9 +271,10 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			r.drain()
 		case <-background.Done():
+			r.config.Log.WithError(context.Cause(background)).Error("router: a background task failed")
 		}
+		r.drain()
 		stop()
 		_ = r.readyServer.Close()
 		return nil
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -85,6 +85,11 @@
 
 // startRouterWithClock starts a router whose fake clock others may share.
 func startRouterWithClock(store *memoryStore, clock *clockwork.FakeClock, name string, seeds ...string) *fixture {
+	return startRouterWith(store, clock, name, func(*router.Config) {}, seeds...)
+}
+
+// startRouterWith starts a router whose configuration is changed first.
+func startRouterWith(store *memoryStore, clock *clockwork.FakeClock, name string, change func(*router.Config), seeds ...string) *fixture {
 	f := &fixture{store: store, clock: clock, ended: make(chan error, 1)}
 	text, err := json.Marshal(map[string]any{
 		"name": name, "domain": "hall-a", "callerAddress": freeAddress(), "readyAddress": freeAddress(), "peerAddress": freeAddress(),
@@ -93,10 +98,12 @@
 	So(err, ShouldBeNil)
 	f.settings, err = router.ParseSettings(text)
 	So(err, ShouldBeNil)
-	r := router.New(router.Config{
+	config := router.Config{
 		Settings: f.settings, Store: store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Clock: f.clock,
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Metrics: metrics.NewRegistry(),
-	})
+	}
+	change(&config)
+	r := router.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.ended <- r.Run(ctx) }()
