Remove the repairs that admit, idempotency and bundle never record

No change for callers or operators: the three packages took a list of repairs and added nothing to it, so that it said less than its comment. No test can show a field that is not used; the tree builds without it, and the tests of the three packages and of node pass.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -13,7 +13,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pumiceshelf/api"
-	"pumiceshelf/telemetry"
 	"pumiceshelf/trace"
 )
 
@@ -32,9 +31,8 @@
 	Log      log.Interface
 	Metrics  metrics.Registry
 	Chooser  Chooser
-	// Traces and Repairs may be nil.
-	Traces  *trace.Store
-	Repairs *telemetry.Repairs
+	// Traces may be nil.
+	Traces *trace.Store
 	// Seed seeds the jitter of RetryAfter; zero selects a random seed.
 	Seed uint64
 }
--- a/bundle/holder.go
+++ b/bundle/holder.go
@@ -21,7 +21,7 @@
 	"pumiceshelf/telemetry"
 )
 
-// Config configures a Holder. All fields except Repairs are required.
+// Config configures a Holder. All fields are required.
 type Config struct {
 	Settings *api.BundleSettings
 	// FirstOperators and FirstThreshold are the operators who approve the first bundle and how many of them must sign it.
@@ -34,7 +34,6 @@
 	Store          objectstore.Store
 	View           peer.View
 	Conns          peer.Conns
-	Repairs        *telemetry.Repairs
 }
 
 // Holder holds the active bundle of one instance and replaces it by newer ones. It implements Source and is safe for
--- a/idempotency/manager.go
+++ b/idempotency/manager.go
@@ -24,7 +24,6 @@
 	"pumiceshelf/instance"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/peer"
-	"pumiceshelf/telemetry"
 	"pumiceshelf/trace"
 )
 
@@ -38,7 +37,7 @@
 	shardIdleTimeout = 10 * time.Minute
 )
 
-// Config configures a Manager. All fields except Traces, Repairs and Policy are required.
+// Config configures a Manager. All fields except Traces and Policy are required.
 type Config struct {
 	Settings *api.ClaimSettings
 	Self     *api.Instance
@@ -49,7 +48,6 @@
 	View     peer.View
 	Conns    peer.Conns
 	Traces   *trace.Store
-	Repairs  *telemetry.Repairs
 	Policy   Policy
 }
 
--- a/node/build.go
+++ b/node/build.go
@@ -122,7 +122,6 @@
 		Store:          c.platform,
 		View:           c.fleet,
 		Conns:          c.fleet,
-		Repairs:        c.repairs,
 	})
 }
 
@@ -157,7 +156,6 @@
 		Metrics:  cfg.Metrics,
 		Chooser:  c.balancer,
 		Traces:   c.traces,
-		Repairs:  c.repairs,
 	})
 }
 
@@ -208,7 +206,6 @@
 		View:     c.fleet,
 		Conns:    c.fleet,
 		Traces:   c.traces,
-		Repairs:  c.repairs,
 		Policy:   cfg.Policies.Claim,
 	})
 }
