Release change slots whose write has no response

Other failure domains could wait up to 15 minutes to load models: a slot of an engine that was up to date was held until its TTL, if the response to the write that acquired it was lost and the change was taken back before the next round.

Cause: the reconciler remembered from the round before that the domain held no slot, found nothing to do and did not look at the slots again.

Change: it forgets that before it writes slots.

Measured: the new case of TestReconcile failed before (one slot left); the package passes now, 2 runs.

--- a/orders/reconciler.go
+++ b/orders/reconciler.go
@@ -61,7 +61,8 @@
 type Reconciler struct {
 	config   Config
 	counters *counters
-	// noSlotsHeld is true if no endpoint of the domain held a slot after this incarnation's last complete round.
+	// noSlotsHeld is true if no endpoint of the domain held a slot after this incarnation's last complete round, and no write
+	// of slots has failed since.
 	noSlotsHeld bool
 
 	mu     sync.Mutex
@@ -187,6 +188,8 @@
 	}
 	r.assignSlots(snap, decisions, s)
 	if s.changed {
+		// The write may take effect even if it returns an error.
+		r.noSlotsHeld = false
 		if err := writeMessage(ctx, r.config.Store, slotsKey, &api.ChangeSlots{Slots: s.list}, version); err != nil {
 			return err
 		}
--- a/orders/reconciler_test.go
+++ b/orders/reconciler_test.go
@@ -64,6 +64,17 @@
 			}
 			So(f.engines.versions("m"), ShouldResemble, map[string]int{"v2": 3})
 		})
+		Convey("a slot whose response was dropped is released if the change is taken back", func() {
+			f.setBundle(testBundle(2, "v2", 3, 1, "a"))
+			f.store.dropNextResponse = true
+			f.reconcileRounds(1, "a-0")
+			f.setBundle(testBundle(3, "v1", 3, 1, "a"))
+			f.reconcileRounds(2, "a-0")
+			var stored api.ChangeSlots
+			_, err := readMessage(t.Context(), f.store, slotsKey, &stored)
+			So(err, ShouldBeNil)
+			So(stored.Slots, ShouldBeEmpty)
+		})
 		Convey("the last loaded endpoint waits for a replica", func() {
 			f.engines.unreachable["a-e1"], f.engines.unreachable["a-e2"] = true, true
 			f.setBundle(testBundle(2, "v2", 3, 1, "a"))
