Do not raise a domain's fencing number by those of other domains

Two failure domains that wait for a replica in each other took their leases of orders anew in round after round, with ever higher fencing numbers: writes to the store, and lines that a lease was acquired, for nothing.

Cause: planning with the engines of other domains adds their states to those that the domain's own fencing number must not be below.

Change: the number is taken from the domain's own engines, which are the only ones that get its orders.

--- a/orders/reconciler.go
+++ b/orders/reconciler.go
@@ -181,8 +181,9 @@
 	s.expire(r.config.Clock.Now())
 	start := r.config.Clock.Now()
 	states := r.readStates(ctx, domainEngines(snap, r.domain()))
+	ownFence := highestFence(states)
 	decisions := r.planWithSlots(ctx, snap, states, s)
-	fence, err := r.ensureLease(ctx, highestFence(states))
+	fence, err := r.ensureLease(ctx, ownFence)
 	if err != nil {
 		return err
 	}
@@ -204,8 +205,8 @@
 	return nil
 }
 
-// planWithSlots plans one round with the current slots. If a model has no other replica in the domain, it plans again with
-// the states of engines in other domains.
+// planWithSlots plans one round with the current slots. If a model has no other replica in the domain, it adds the states of
+// engines in other domains and plans again.
 func (r *Reconciler) planWithSlots(ctx context.Context, snap *bundle.Snapshot, states engineStates, s *slots) []decision {
 	decisions := r.plan(snap, states, s.endpointIDs())
 	for _, d := range decisions {
--- a/orders/reconciler_test.go
+++ b/orders/reconciler_test.go
@@ -107,6 +107,20 @@
 		So(f.engines.unserved, ShouldBeFalse)
 	})
 
+	Convey("Domains that wait for a replica in each other keep their fencing numbers", t, func() {
+		f := newTestFleet(testBundle(1, "v1", 1, 2, "a", "b"), true, "a", "b")
+		f.engines.states["a-e0"].Fence = 5
+		f.reconcileRounds(3, "a-0", "b-0")
+		for version := range uint64(4) {
+			f.setBundle(testBundle(2+version, fmt.Sprint("v", 2+version), 1, 2, "a", "b"))
+			f.reconcileRounds(6, "a-0", "b-0")
+			So(f.engines.versions("m"), ShouldResemble, map[string]int{fmt.Sprint("v", 2+version): 2})
+		}
+		for _, name := range []string{"a-0", "b-0"} {
+			So(f.reconcilers[name].counters.leasesAcquired.Count(), ShouldEqual, 1)
+		}
+	})
+
 	Convey("Two domains with one engine each that plan concurrently do not both change", t, func() {
 		f := newTestFleet(testBundle(1, "v1", 1, 2, "a", "b"), true, "a", "b")
 		f.reconcileRounds(3, "a-0", "b-0")
