--- a/members/members.go
+++ b/members/members.go
@@ -69,6 +69,10 @@
 	Allocate func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation
 	// Abandon takes back the tokens of requests of another instance that did not receive the responses.
 	Abandon func(borrower instance.Incarnation, sequences []uint64)
+	// AcceptReturn adds the tokens that another instance passes back. It returns false if they are for another incarnation.
+	AcceptReturn func(prepaid.Return) bool
+	// TakeBack makes tokens available again that could not be passed back.
+	TakeBack func(tokens map[string]int64)
 	// Limits holds the endpoint limits that this instance exchanges with others.
 	Limits *endpointlimit.Limits
 	// Quarantine holds the evidence about prompt parts that this instance exchanges with others.
@@ -91,7 +95,10 @@
 	unanswered   unansweredRequests
 	contact      evidenceContact
 	originQueue  chan origin.Origin
+	returnQueue  chan outgoingReturn
 	lendSequence atomic.Uint64
+	// returnSequence numbers the returns of tokens, which are sent in this order.
+	returnSequence atomic.Uint64
 	// hasListed is set after the first successful listing.
 	hasListed bool
 	// entryVersion is the version of this instance's entry, zero if it is not in the store.
@@ -102,7 +109,7 @@
 func New(c Config) *Members {
 	m := &Members{
 		config: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleConnTimeout, KeyCapacity: maxIdleConns}),
-		originQueue: make(chan origin.Origin, originQueueSize),
+		originQueue: make(chan origin.Origin, originQueueSize), returnQueue: make(chan outgoingReturn, 1),
 	}
 	m.applyListing(nil)
 	return m
--- a/orders/reconciler.go
+++ b/orders/reconciler.go
@@ -61,7 +61,8 @@
 type Reconciler struct {
 	config   Config
 	counters *counters
-	// noSlotsHeld is true if no endpoint of the domain held a slot after this incarnation's last complete round.
+	// noSlotsHeld is true if no endpoint of the domain held a slot after this incarnation's last complete round, and no write
+	// of slots has failed since.
 	noSlotsHeld bool
 
 	mu     sync.Mutex
@@ -180,13 +181,16 @@
 	s.expire(r.config.Clock.Now())
 	start := r.config.Clock.Now()
 	states := r.readStates(ctx, domainEngines(snap, r.domain()))
+	ownFence := highestFence(states)
 	decisions := r.planWithSlots(ctx, snap, states, s)
-	fence, err := r.ensureLease(ctx, highestFence(states))
+	fence, err := r.ensureLease(ctx, ownFence)
 	if err != nil {
 		return err
 	}
 	r.assignSlots(snap, decisions, s)
 	if s.changed {
+		// The write may take effect even if it returns an error.
+		r.noSlotsHeld = false
 		if err := writeMessage(ctx, r.config.Store, slotsKey, &api.ChangeSlots{Slots: s.list}, version); err != nil {
 			return err
 		}
@@ -201,8 +205,8 @@
 	return nil
 }
 
-// planWithSlots plans one round with the current slots. If a model has no other replica in the domain, it plans again with
-// the states of engines in other domains.
+// planWithSlots plans one round with the current slots. If a model has no other replica in the domain, it adds the states of
+// engines in other domains and plans again.
 func (r *Reconciler) planWithSlots(ctx context.Context, snap *bundle.Snapshot, states engineStates, s *slots) []decision {
 	decisions := r.plan(snap, states, s.endpointIDs())
 	for _, d := range decisions {
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -32,11 +32,15 @@
 	limit int64
 	// borrowed is the total number of tokens received from the leases of other instances.
 	borrowed int64
+	// leased is set once the ledger had a lease of this incarnation.
+	leased bool
 	// used is the number of tokens that are spent or reserved.
 	used int64
 	// remaining is the part of the budget that the ledger had not committed at readAt.
 	remaining int64
 	readAt    time.Time
+	// lowest is the fewest tokens that were available since the last call of takeIdle.
+	lowest int64
 	// waiters are the reservations that wait for a larger lease, in order of arrival.
 	waiters list.List
 	// loanFailedAt is the last time that a loan brought less than was requested.
@@ -93,9 +97,26 @@
 		return false
 	}
 	a.used += tokens
+	a.lowest = min(a.lowest, a.limit-a.used)
 	return true
 }
 
+// takeIdle takes the tokens that have been available ever since its last call, at least the given number or none, to pass
+// them on to another instance. They count as spent.
+func (a *account) takeIdle(least int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	idle := min(a.lowest, a.limit-a.used)
+	if idle < least || a.waiters.Len() > 0 {
+		idle = 0
+	}
+	a.used += idle
+	a.passedOn += idle
+	a.rateBaseline += idle
+	a.lowest = a.limit - a.used
+	return idle
+}
+
 // settle ends a reservation and releases the tokens that it did not spend.
 func (a *account) settle(reserved, spent int64) {
 	a.mu.Lock()
@@ -155,16 +176,22 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limit += a.borrowed
+	a.leased = true
 	invariant.Check(limit >= a.used, component, "lease of %d tokens is below the %d used", limit, a.used)
 	a.limit, a.remaining, a.readAt = limit, remaining, now
 	a.grantWaiters()
 }
 
-// dropLease applies a version of the ledger that has no lease of this incarnation: it may spend only borrowed tokens.
+// dropLease applies a version of the ledger that has no lease of this incarnation: it may spend only borrowed tokens. If a
+// later incarnation has closed the lease, those that this one had returned with it are available to others.
 func (a *account) dropLease(remaining int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.limit, a.remaining, a.readAt = max(a.used, a.borrowed), remaining, now
+	limit := max(a.used, a.borrowed)
+	if a.leased {
+		limit = min(limit, a.limit)
+	}
+	a.limit, a.remaining, a.readAt = limit, remaining, now
 }
 
 // hasUncoveredWaiter reports whether a waiter needs more tokens than the lease and the remaining budget have.
--- a/router/router.go
+++ b/router/router.go
@@ -139,8 +139,10 @@
 		Allocate: func(ctx context.Context, id prepaid.TransferID, customer string, needed, wanted int64) prepaid.Allocation {
 			return r.prepaid.Allocate(ctx, id, customer, needed, wanted)
 		},
-		Abandon:    func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
-		Unanswered: func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
+		Abandon:      func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
+		AcceptReturn: func(back prepaid.Return) bool { return r.prepaid.AcceptReturn(back) },
+		TakeBack:     func(tokens map[string]int64) { r.prepaid.TakeBack(tokens) },
+		Unanswered:   func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
 	})
 	r.configurationFollower = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, QueryPeers: r.members.FetchNewerConfiguration,
@@ -153,7 +155,7 @@
 	r.prepaid = prepaid.NewManager(prepaid.Config{
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
 		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, IsFirstHolder: r.members.IsFirstHolder,
-		RequestAllocation: r.members.RequestAllocation, TokenHolderCount: r.members.TokenHolderCount,
+		RequestAllocation: r.members.RequestAllocation, Return: r.members.ReturnTokens, TokenHolderCount: r.members.TokenHolderCount,
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 	})
 	r.gateway = gateway.New(gateway.Config{
@@ -268,7 +270,7 @@
 	return r.table.Load() != nil && r.endpointView.Load() != nil && !r.draining.Load()
 }
 
-// Run serves requests until the context ends, then drains within the grace period and returns.
+// Run serves requests until the context ends or a background task fails, then drains within the grace period and returns.
 func (r *Router) Run(ctx context.Context) error {
 	listeners, err := r.listen()
 	if err != nil {
@@ -285,6 +287,7 @@
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
+	group.Go(func() error { return r.members.RunReturning(background) })
 	group.Go(func() error { return r.members.RunExchangingLimits(background) })
 	group.Go(func() error { return r.members.RunPassingOrigins(background) })
 	group.Go(func() error { return r.members.RunExchangingEvidence(background) })
@@ -296,9 +299,10 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			r.drain()
 		case <-background.Done():
+			r.config.Log.WithError(context.Cause(background)).Error("router: a background task failed")
 		}
+		r.drain()
 		stop()
 		_ = r.readyServer.Close()
 		return nil
