Compare whole IDs of prompt parts in the emulation, and crash an endpoint once

Cause: the slow part "d0" was found by a substring, which "bad0" holds too; two requests that crash an endpoint at the same time could start it twice.

Change: IDs are compared whole; crashEndpoint reports whether it ended the endpoint.

--- a/router/emulated_crash_test.go
+++ b/router/emulated_crash_test.go
@@ -70,6 +70,15 @@
 	req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,48", 400*len(p.parts)))
 }
 
+// promptParts returns the IDs of the parts of a request's prompt.
+func promptParts(r *http.Request) (ids []string) {
+	for item := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
+		id, _, _ := strings.Cut(item, ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // partArrival is a request with a crashing part that reached an endpoint and was not misdirected.
 type partArrival struct {
 	arrival
@@ -165,9 +174,10 @@
 	w.WriteHeader(status)
 	w.(http.Flusher).Flush()
 	lead := headerLead
-	prompt := r.Header.Get("X-Prefix-Hash")
-	if strings.Contains(prompt, slowDocument+":") || strings.Contains(prompt, newDocument+":") {
-		lead = slowHeaderLead
+	for _, id := range promptParts(r) {
+		if id == slowDocument || id == newDocument {
+			lead = slowHeaderLead
+		}
 	}
 	pause(r.Context(), lead)
 }
@@ -221,8 +231,7 @@
 func (c *crashEmulator) recordArrival(endpoint *emulatedEndpoint, r *http.Request) *crashingPart {
 	c.crashMu.Lock()
 	defer c.crashMu.Unlock()
-	for item := range strings.SplitSeq(r.Header.Get("X-Prefix-Hash"), ",") {
-		id, _, _ := strings.Cut(item, ":")
+	for _, id := range promptParts(r) {
 		if part := c.parts[id]; part != nil {
 			a := arrival{at: time.Now(), instance: r.RemoteAddr}
 			part.arrivals = append(part.arrivals, partArrival{arrival: a, endpoint: endpoint.id, request: r.Header.Get("X-Request-Id")})
@@ -246,13 +255,9 @@
 // crashAndRestart crashes an endpoint, and starts its next process at the same address some seconds later. It returns false
 // if the endpoint had crashed before.
 func (c *crashEmulator) crashAndRestart(endpoint *emulatedEndpoint) bool {
-	c.mu.Lock()
-	serving := slices.Contains(c.serving, endpoint)
-	c.mu.Unlock()
-	if !serving {
+	if !c.crashEndpoint(endpoint) {
 		return false
 	}
-	c.crashEndpoint(endpoint)
 	after := minRestart + time.Duration(c.uniform()*float64(maxRestart-minRestart))
 	registration := time.Duration(c.uniform() * float64(maxRegistration))
 	id := endpoint.id
--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -203,10 +203,11 @@
 	return len(e.serving) < before
 }
 
-// crashEndpoint ends an endpoint. Its entry is removed after some heartbeats, unless it has started again.
-func (e *emulator) crashEndpoint(endpoint *emulatedEndpoint) {
+// crashEndpoint ends an endpoint. Its entry is removed after some heartbeats, unless it has started again. It returns false if
+// the endpoint had ended before.
+func (e *emulator) crashEndpoint(endpoint *emulatedEndpoint) bool {
 	if !e.removeServing(endpoint) {
-		return
+		return false
 	}
 	endpoint.crash()
 	e.work.Go(func() {
@@ -218,6 +219,7 @@
 			_ = e.store.Delete(context.Background(), "servers/"+endpoint.id, 0)
 		}
 	})
+	return true
 }
 
 // drainEndpoint lets an endpoint finish its streams, and ends it.
