Let a third of the endpoints reset connections in the test of refusals

Change: three of nine (13 of 40) endpoints reset 40% of their requests. "overloaded" counts towards its bound also after a lost attempt (502).

--- a/router/endpoint_crash_test.go
+++ b/router/endpoint_crash_test.go
@@ -19,7 +19,7 @@
 	// resetShare is the share of its requests whose connection an endpoint resets. One of resetEvery endpoints does so for
 	// resetsLast.
 	resetShare = 0.4
-	resetEvery = 10
+	resetEvery = 3
 	resetsLast = 25 * time.Second
 	// maxOverloadedShare is the share of requests that may be refused because the remaining endpoints are overloaded.
 	maxOverloadedShare = 0.005
@@ -97,8 +97,10 @@
 	refused := c.refusals(allRequests)
 	delete(refused, "502 answer-lost")
 	delete(refused, "502 answer-cut")
-	if float64(refused["503 overloaded"]) <= maxOverloadedShare*float64(len(c.requests)) {
+	overloaded := refused["503 overloaded"] + refused["502 overloaded"]
+	if float64(overloaded) <= maxOverloadedShare*float64(len(c.requests)) {
 		delete(refused, "503 overloaded")
+		delete(refused, "502 overloaded")
 	}
 	return refused
 }
