--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -147,7 +147,7 @@
 		f.crashAndWait(1, prompt("a", "b"))
 		So(f.convictedBy("a")+f.convictedBy("b"), ShouldEqual, 4)
 	})
-	Convey("the guilty one of many parts that are always lost together is refused after five crashes", t, func() {
+	Convey("the cause among many parts that are always lost together is refused after five crashes", t, func() {
 		f := newFleet(2)
 		f.trackers[0].Began(prompt("other"), f.now)
 		f.now = f.now.Add(time.Second)
@@ -350,12 +350,12 @@
 	})
 }
 
-// TestRandomCrashes plays crashes with and without a guilty part among bystanders. Any sound session may be lost in each crash,
+// TestRandomCrashes plays crashes with and without a part that crashes endpoints among bystanders. Any sound session may be lost in each crash,
 // and go without an answer between two, but not between three.
 func TestRandomCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.IntRange(1, 6).Draw(t, "instances"))
-		guilty := rapid.Bool().Draw(t, "guilty")
+		crashing := rapid.Bool().Draw(t, "crashing")
 		sessions := rapid.IntRange(8, 40).Draw(t, "sessions")
 		instance, session := rapid.IntRange(0, len(f.trackers)-1), rapid.IntRange(0, sessions-1)
 		f.trackers[0].Began(prompt("other"), f.now)
@@ -374,7 +374,7 @@
 			f.now = f.now.Add(100 * time.Millisecond)
 			if f.convictedBy("bad") == 0 {
 				prompts := [][]string{prompt(fmt.Sprint("session-", session.Draw(t, "waiting"))), prompt(fmt.Sprint("session-", session.Draw(t, "waiting")))}
-				if guilty {
+				if crashing {
 					prompts = append(prompts, prompt("bad"))
 				}
 				f.crash(instance.Draw(t, "observer"), prompts...)
@@ -382,10 +382,10 @@
 			}
 			f.wait(500 * time.Millisecond)
 		}
-		if guilty && f.convictedBy("bad") != len(f.trackers) {
-			t.Fatalf("%d of %d instances have the guilty part in quarantine", f.convictedBy("bad"), len(f.trackers))
+		if crashing && f.convictedBy("bad") != len(f.trackers) {
+			t.Fatalf("%d of %d instances have the part that crashes endpoints in quarantine", f.convictedBy("bad"), len(f.trackers))
 		}
-		if guilty && crashes > 4 {
+		if crashing && crashes > 4 {
 			t.Fatalf("%d crashes until the verdict", crashes)
 		}
 		for _, c := range f.changes {
