--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -39,9 +39,10 @@
 	endFault()
 }
 
+// adjustStoreFaults changes the faults of the store. It does not take r.mu, which the store's callbacks lock under its mutex.
 func (r *Run) adjustStoreFaults(change func(*standin.Faults)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.faultsMu.Lock()
+	defer r.faultsMu.Unlock()
 	f := r.Fleet.Objects.Faults()
 	change(&f)
 	r.Fleet.Objects.SetFaults(f)
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -30,6 +30,7 @@
 	requests       []*request
 	records        map[string][]*api.UsageRecord
 	mu             sync.Mutex
+	faultsMu       sync.Mutex
 	bundleNumber   uint64
 	topUps         []string
 	grants         []topUpGrant
