--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -390,10 +390,7 @@
 
 // endpointRequest builds the request to an endpoint with the caller's method, path, query and body.
 func (j *job) endpointRequest(ctx context.Context, e registry.Endpoint) *http.Request {
-	forwarded := ForwardMeta{Timeout: j.remainingTime(), EndpointID: e.ID, Priority: -1}
-	if j.customer != nil {
-		forwarded.Customer = j.customer.Name
-	}
+	forwarded := ForwardMeta{Timeout: j.remainingTime(), EndpointID: e.ID, Customer: j.customerName(), Priority: -1}
 	if j.engine() != nil {
 		forwarded.Priority = enginePriority(j.customer, j.route)
 	}
@@ -426,7 +423,8 @@
 }
 
 func (j *job) roundTripFailure(ticket *placement.Ticket, err error, written bool) *failure {
-	j.logger().WithField("endpoint", ticket.Endpoint.ID).WithField("written", written).WithError(err).Info("gateway: no response from the endpoint")
+	j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "written": written, "content": j.content}).WithError(err).
+		Info("gateway: no response from the endpoint")
 	var dial *dialError
 	if errors.As(err, &dial) || !written {
 		return &failure{reason: reasonUnreachable, result: placement.Unreachable}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -42,6 +42,8 @@
 	service  string
 	customer *routing.Customer
 	body     []byte
+	// content is the content ID, empty until the body was read.
+	content  string
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -162,6 +164,14 @@
 	return nil
 }
 
+// customerName returns the name of the customer, or the empty string for a request without a key.
+func (j *job) customerName() string {
+	if j.customer == nil {
+		return ""
+	}
+	return j.customer.Name
+}
+
 // readBody reads the whole body, so that the request can be sent again.
 func (j *job) readBody() *refusal {
 	limit := j.table.Limits().BodyBytes
@@ -185,7 +195,7 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		j.gateway.config.Log.WithField("request_id", j.meta.ID).WithError(err).Debug("gateway: cannot clear the read deadline")
 	}
-	j.body = body
+	j.body, j.content = body, contentID(j.r, j.customerName(), body)
 	return nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,7 +32,8 @@
 		return j.unresponsiveFailure(a.ticket)
 	}
 	if err != nil || len(body) > maxResponseBytes {
-		j.logger().WithField("endpoint", a.ticket.Endpoint.ID).WithError(err).Info("gateway: response is truncated or too large")
+		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "content": j.content}).WithError(err).
+			Info("gateway: response is truncated or too large")
 		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 	}
 	response := bufferedResponse{status: a.resp.StatusCode, header: a.resp.Header, body: body}
@@ -100,7 +101,8 @@
 			return j.unresponsiveFailure(a.ticket)
 		}
 		if err != nil {
-			j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.eventCount}).WithError(err).Info("gateway: stream is truncated or invalid")
+			j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "events": j.eventCount, "content": j.content}).WithError(err).
+				Info("gateway: stream is truncated or invalid")
 			return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 		}
 		if received++; received == eventsToBegin {
