--- a/router/crash_part_test.go
+++ b/router/crash_part_test.go
@@ -48,6 +48,8 @@
 	ordered []*crashingPart
 	// choices selects the disruption. Only its goroutine uses it.
 	choices *rand.Rand
+	// known is the number of crashes around which a disruption comes.
+	known int
 	// preferred, if set, is the instance that gets every second request with a part.
 	preferred *emulatedInstance
 }
@@ -65,18 +67,18 @@
 }
 
 func (p *crashPlay) restartThird() {
-	p.awaitCrashes(knownAfterCrashes - p.choices.IntN(2))
+	p.awaitCrashes(p.known - p.choices.IntN(2))
 	p.restartInstances(p.pickInstances(len(p.instances)/3), restartPause)
 }
 
 func (p *crashPlay) restartAllLater() {
-	p.awaitCrashes(knownAfterCrashes)
+	p.awaitCrashes(p.known)
 	time.Sleep(contactPeriod + time.Second)
 	p.restartInstances(p.instances, restartPause)
 }
 
 func (p *crashPlay) cutFromOthers() {
-	p.awaitCrashes(2 + p.choices.IntN(3))
+	p.awaitCrashes(p.known - 1 - p.choices.IntN(3))
 	in := p.pickInstances(1)[0]
 	mode := []cutMode{cutRefuses, cutDrops}[p.choices.IntN(2)]
 	p.note("%s is cut off from other instances, mode %d", in.name, mode)
@@ -89,12 +91,12 @@
 }
 
 func (p *crashPlay) cutSomeFromStore() {
-	p.awaitCrashes(1 + p.choices.IntN(4))
+	p.awaitCrashes(p.known - 1 - p.choices.IntN(4))
 	p.cutFromStore(p.pickInstances(len(p.instances)/3), 6*time.Second)
 }
 
 func (p *crashPlay) cutAllFromStore() {
-	p.awaitCrashes(1 + p.choices.IntN(4))
+	p.awaitCrashes(p.known - 1 - p.choices.IntN(4))
 	p.cutFromStore(p.instances, 5*time.Second)
 }
 
@@ -127,7 +129,9 @@
 
 // playCrashes plays a scenario.
 func playCrashes(s crashScenario, size crashSize, seed uint64) *crashPlay {
-	p := &crashPlay{crashEmulator: newCrashEmulator(seed, size.instances, size.endpoints), choices: rand.New(rand.NewPCG(seed, 2))}
+	p := &crashPlay{
+		crashEmulator: newCrashEmulator(seed, size.instances, size.endpoints), choices: rand.New(rand.NewPCG(seed, 2)), known: knownAfterCrashes,
+	}
 	from := p.start.Add(partBegins)
 	for i := range s.parts {
 		part := &crashingPart{
--- a/router/emulated_crash_test.go
+++ b/router/emulated_crash_test.go
@@ -85,9 +85,12 @@
 	endpoint, request string
 }
 
-// crashingPart is a prompt part that crashes each endpoint that begins to respond to a request with it.
+// crashingPart is a prompt part that crashes each endpoint that begins to respond to a request with it. A whole request that
+// does so has its path as the ID.
 type crashingPart struct {
 	id, route string
+	// unanswered is set if endpoints crash before they send the header of a response.
+	unanswered bool
 	// isFirst is set if the part is the first of its prompts. Otherwise it follows a part that other requests share.
 	isFirst bool
 	// from and until bound the time in which callers send requests with the part.
@@ -124,10 +127,15 @@
 
 // newCrashEmulator starts the given number of instances and endpoints, and waits until they serve.
 func newCrashEmulator(seed uint64, instances, endpoints int) *crashEmulator {
+	return newConfiguredCrashEmulator(seed, instances, endpoints, crashConfiguration)
+}
+
+// newConfiguredCrashEmulator is newCrashEmulator with another configuration.
+func newConfiguredCrashEmulator(seed uint64, instances, endpoints int, configuration string) *crashEmulator {
 	c := &crashEmulator{
 		emulator: newEmulator(seed, instances, 0), parts: make(map[string]*crashingPart), resetShare: make(map[string]float64),
 	}
-	c.store.set("config/main", crashConfiguration)
+	c.store.set("config/main", configuration)
 	c.wrapEndpoint = func(endpoint *emulatedEndpoint) http.Handler { return &crashHandler{emulator: c, endpoint: endpoint} }
 	for i := range endpoints {
 		c.addEndpoint(fmt.Sprintf("i-%03d", i), fmt.Sprintf("10.1.0.%d:80", i+1), "v1")
@@ -182,10 +190,12 @@
 	pause(r.Context(), lead)
 }
 
-// crash ends the endpoint after the header of a response.
+// crash ends the endpoint, usually after the header of a response.
 func (h *crashHandler) crash(w http.ResponseWriter, part *crashingPart) {
-	w.WriteHeader(http.StatusOK)
-	w.(http.Flusher).Flush()
+	if !part.unanswered {
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+	}
 	if h.emulator.crashAndRestart(h.endpoint) {
 		h.emulator.recordCrash(part, h.endpoint)
 	}
@@ -227,11 +237,11 @@
 	return share > 0 && c.uniform() < share
 }
 
-// recordArrival records a request with a crashing part, and returns the part, or nil if the request has none.
+// recordArrival records a request that is or has a crashing part, and returns the part, or nil if there is none.
 func (c *crashEmulator) recordArrival(endpoint *emulatedEndpoint, r *http.Request) *crashingPart {
 	c.crashMu.Lock()
 	defer c.crashMu.Unlock()
-	for _, id := range promptParts(r) {
+	for _, id := range append(promptParts(r), r.URL.Path) {
 		if part := c.parts[id]; part != nil {
 			a := arrival{at: time.Now(), instance: r.RemoteAddr}
 			part.arrivals = append(part.arrivals, partArrival{arrival: a, endpoint: endpoint.id, request: r.Header.Get("X-Request-Id")})
--- a/router/emulated_silence_test.go
+++ b/router/emulated_silence_test.go
@@ -44,8 +44,14 @@
 		e.respondStream(w, r)
 		return
 	}
+	e.respondPlain(w, r)
+}
+
+// respondPlain sends a response that is not a stream.
+func (e *emulatedEndpoint) respondPlain(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Server-Stamp", e.id)
+	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write([]byte(plainBody(id)))
 }
