--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -46,30 +46,38 @@
 	lostAt   time.Time
 	requests [][]string
 	parts    int
+	// done is closed when it is recorded whether the endpoint has ended.
+	done chan struct{}
 }
 
-// lost records that a request with the prompt parts was lost at an endpoint before its first event.
-func (d *crashDetector) lost(e registry.Endpoint, parts []string) {
+// lost records that a request with the parts was lost at an endpoint before its first event. It returns a channel that is closed
+// once the quarantine knows whether the endpoint has ended, or nil if it will not be checked.
+func (d *crashDetector) lost(e registry.Endpoint, parts []string) <-chan struct{} {
 	now := d.gateway.config.Clock.Now()
 	if d.gateway.config.Quarantine.Ended(e, now) {
 		d.record(&crashCheck{endpoint: e, lostAt: now, requests: [][]string{parts}})
-		return
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := slices.IndexFunc(d.checks, func(c *crashCheck) bool { return c.endpoint.SameProcess(e) })
 	if i < 0 {
 		if len(d.checks) >= maxCrashChecks {
-			return
+			return nil
 		}
 		i = len(d.checks)
-		c := &crashCheck{endpoint: e, lostAt: now}
+		c := &crashCheck{endpoint: e, lostAt: now, done: make(chan struct{})}
 		d.checks = append(d.checks, c)
-		time.AfterFunc(crashCheckDelay, func() { d.check(c) })
+		time.AfterFunc(crashCheckDelay, func() {
+			defer close(c.done)
+			d.check(c)
+		})
 	}
-	if c := d.checks[i]; c.parts+len(parts) <= maxPartsChecked {
+	c := d.checks[i]
+	if c.parts+len(parts) <= maxPartsChecked {
 		c.requests, c.parts = append(c.requests, parts), c.parts+len(parts)
 	}
+	return c.done
 }
 
 // check connects to the endpoint. Only a refused connection shows that the process has ended.
@@ -126,51 +134,82 @@
 	return out
 }
 
+// suspectParts returns the parts of the request that may crash endpoints: those of its prompt that other requests may have as
+// well, and its content as a whole.
+func (j *job) suspectParts() []string {
+	return append(j.meta.sharedParts(), quarantine.RequestPart(j.content))
+}
+
 // recordBegun records that an endpoint began to answer the request.
 func (j *job) recordBegun() {
 	j.attemptBegun = true
-	j.gateway.config.Quarantine.Began(j.meta.sharedParts(), j.gateway.config.Clock.Now())
+	j.gateway.config.Quarantine.Began(j.suspectParts(), j.gateway.config.Clock.Now())
 }
 
-// recordLoss records that an attempt lost its connection before an answer began, if it did.
-func (j *job) recordLoss(ticket *placement.Ticket, f *failure, begun bool) {
+// recordLoss records that an attempt lost its connection before an answer began, if it did. It returns a channel that is closed
+// once it is known whether the endpoint has ended, or nil.
+func (j *job) recordLoss(ticket *placement.Ticket, f *failure, begun bool) <-chan struct{} {
 	lost := f != nil && f.sent && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
-	parts := j.meta.sharedParts()
-	if !lost || begun || len(parts) == 0 || j.ctx.Err() != nil {
-		return
+	if !lost || begun || j.ctx.Err() != nil {
+		return nil
 	}
-	j.gateway.crashes.lost(ticket.Endpoint, parts)
+	return j.gateway.crashes.lost(ticket.Endpoint, j.suspectParts())
 }
 
-// checkPrompt refuses a request with a prompt part in quarantine.
-func (j *job) checkPrompt() *refusal {
-	if _, quarantined := j.quarantined(); quarantined {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: retryAfterQuarantined}
+// checkQuarantine refuses a request with a part in quarantine.
+func (j *job) checkQuarantine() *refusal {
+	if reason, quarantined := j.quarantined(); quarantined {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfterQuarantined}
 	}
 	return nil
 }
 
-// quarantined returns and logs the verdict on the request's prompt, if there is one.
-func (j *job) quarantined() (quarantine.Verdict, bool) {
-	v, ok := j.gateway.config.Quarantine.Quarantined(j.meta.sharedParts(), j.gateway.config.Clock.Now())
-	if ok {
-		j.logger().WithFields(log.Fields{
-			"part": v.Part, "endpoints": v.Endpoints, "last_crash_ms": v.LastCrashAge.Milliseconds(), "remaining_ms": v.Remaining.Milliseconds(),
-		}).Info("gateway: prompt part is in quarantine")
+// quarantined logs the verdict on the request if it has a part in quarantine, and returns the reason to refuse it.
+func (j *job) quarantined() (reason, bool) {
+	v, ok := j.gateway.config.Quarantine.Quarantined(j.suspectParts(), j.gateway.config.Clock.Now())
+	if !ok {
+		return reasonNone, false
 	}
-	return v, ok
+	logger := j.logger().WithFields(log.Fields{
+		"part": v.Part, "endpoints": v.Endpoints, "last_crash_ms": v.LastCrashAge.Milliseconds(), "remaining_ms": v.Remaining.Milliseconds(),
+	})
+	if quarantine.IsRequestPart(v.Part) {
+		logger.Info("gateway: request is in quarantine")
+		return reasonQuarantinedRequest, true
+	}
+	logger.Info("gateway: prompt part is in quarantine")
+	return reasonQuarantinedPrompt, true
 }
 
-// stopForPrompt returns the failure to end with after a failed attempt if the request must not be sent again because of its
-// prompt: it has a part in quarantine, or it was lost before its first event and has a part under suspicion.
-func (j *job) stopForPrompt(ticket *placement.Ticket, f *failure) *failure {
-	if _, ok := j.quarantined(); ok {
-		return &failure{reason: reasonQuarantined}
+// stopForCrashes returns the failure to end with after a failed attempt if the request must not be sent again because it may
+// crash endpoints: it has a part in quarantine, or it was lost before its first event and has a part under suspicion. A request
+// that was lost before is not sent on until it is known whether these endpoints have ended.
+func (j *job) stopForCrashes(ticket *placement.Ticket, f *failure) *failure {
+	if reason, ok := j.quarantined(); ok {
+		return &failure{reason: reason}
 	}
 	lost := !j.attemptBegun && (f.reason == reasonResponseLost || f.reason == reasonResponseTruncated)
-	if !lost || !j.gateway.config.Quarantine.Suspected(ticket.Endpoint, j.meta.sharedParts(), j.gateway.config.Clock.Now()) {
+	if !lost {
 		return nil
 	}
-	j.logger().WithField("reason", string(f.reason)).Info("gateway: request is not sent again, a prompt part may have crashed endpoints")
+	j.awaitCrashChecks()
+	if !j.gateway.config.Quarantine.Suspected(ticket.Endpoint, j.suspectParts(), j.gateway.config.Clock.Now()) {
+		return nil
+	}
+	j.logger().WithFields(log.Fields{"reason": string(f.reason), "content": j.content}).Info("gateway: request is not sent again, it may have crashed endpoints")
 	return f
 }
+
+// awaitCrashChecks waits until it is known whether the endpoints have ended at which the request was lost, if there are several.
+func (j *job) awaitCrashChecks() {
+	if len(j.crashChecks) < 2 {
+		return
+	}
+	for _, done := range j.crashChecks {
+		select {
+		case <-done:
+		case <-j.ctx.Done():
+			return
+		}
+	}
+}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -235,3 +235,62 @@
 		So(h.requestCount(), ShouldEqual, before)
 	})
 }
+
+// crashOnQuery returns an endpoint that ends when it begins to run a request with the query, and answers any other.
+func crashOnQuery(id, query string) *fakeEndpoint {
+	e := newFakeEndpoint(id, nil)
+	e.handle = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != query {
+			respondWith(200, "ok")(w, r)
+			return
+		}
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
+	return e
+}
+
+func TestRequestThatCrashesEndpoints(t *testing.T) {
+	for _, c := range []struct{ name, path string }{{"idempotent", "/fetch/x"}, {"non-idempotent", "/status/x"}} {
+		Convey("repeats of a request that has crashed three endpoints are not sent if it is "+c.name, t, func() {
+			var endpoints []*fakeEndpoint
+			for i := range 8 {
+				endpoints = append(endpoints, crashOnQuery(fmt.Sprintf("i-%d", i), "bad"))
+			}
+			h := newHarness(endpoints...)
+			Reset(h.close)
+			clock := h.setClock()
+			send := func(path, query string, i int) response {
+				return h.send("POST", path+"?"+query, "{}", map[string]string{"X-Request-Id": fmt.Sprintf("id-%s-%d", query, i)})
+			}
+			crashed := 0
+			for i := 0; crashed < 3; i++ {
+				So(send(c.path, "bad", i).status, ShouldEqual, 502)
+				crashed = h.requestCount()
+				h.awaitLogs(crashLog, crashed)
+				clock.advance(time.Second)
+			}
+			So(crashed, ShouldEqual, 3)
+			for i := range 3 {
+				refused := send(c.path, "bad", 10+i)
+				So(refused.status, ShouldEqual, 503)
+				So(refused.body, ShouldContainSubstring, "quarantined-request")
+				So(refused.body, ShouldContainSubstring, "not-run")
+				So(refused.header.Get("Retry-After"), ShouldNotBeEmpty)
+			}
+			So(h.requestCount(), ShouldEqual, crashed)
+			So(send(c.path, "good", 20).status, ShouldEqual, 200)
+		})
+	}
+	Convey("a request that crashes endpoints faster than their end shows is sent to two of them", t, func() {
+		var endpoints []*fakeEndpoint
+		for i := range 6 {
+			endpoints = append(endpoints, crashOnQuery(fmt.Sprintf("i-%d", i), "bad"))
+		}
+		h := newHarness(endpoints...)
+		Reset(h.close)
+		h.setAttempts(5)
+		So(h.send("POST", "/fetch/x?bad", "{}", nil).status, ShouldEqual, 502)
+		So(h.requestCount(), ShouldEqual, 2)
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -105,7 +105,7 @@
 		if f.response != nil {
 			j.lastErrorResponse = f
 		}
-		if stop := j.stopForPrompt(ticket, f); stop != nil {
+		if stop := j.stopForCrashes(ticket, f); stop != nil {
 			return j.giveUp(j.preferErrorResponse(*stop))
 		}
 		if !j.mayRetry(f) {
@@ -193,7 +193,9 @@
 	j.endpointID = ticket.Endpoint.ID
 	j.attemptBegun = false
 	f := j.exchange(ticket)
-	j.recordLoss(ticket, f, j.attemptBegun)
+	if check := j.recordLoss(ticket, f, j.attemptBegun); check != nil {
+		j.crashChecks = append(j.crashChecks, check)
+	}
 	result := placement.Served
 	if f != nil {
 		result = f.result
@@ -256,7 +258,7 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout}
 	case j.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, reason: f.reason}
-	case f.reason == reasonQuarantined:
+	case f.reason == reasonQuarantinedPrompt, f.reason == reasonQuarantinedRequest:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterQuarantined}
 	case f.reason == reasonNoEndpoint, f.reason == reasonOverloaded, f.reason == reasonRateLimited:
 		return &refusal{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: retryAfterNoCapacity + f.estimatedWait}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -87,6 +87,8 @@
 
 	// attemptBegun is set once the endpoint of the present attempt began to answer.
 	attemptBegun bool
+	// crashChecks holds a channel for each endpoint that lost the request, closed once it is known whether it has ended.
+	crashChecks []<-chan struct{}
 
 	endpointID string
 	status     int
@@ -99,7 +101,7 @@
 	if await := j.gateway.config.AwaitFreshState; await != nil {
 		await(j.r.Context())
 	}
-	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.checkPrompt, j.findOrigin, j.reserveTokens, j.forward} {
+	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.checkQuarantine, j.findOrigin, j.reserveTokens, j.forward} {
 		if r := step(); r != nil {
 			j.refuse(*r)
 			return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,7 +24,8 @@
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy, reasonEndpointsPaused,
 	reasonRateLimited, reasonOriginUnknown, reasonVersionUnavailable,
 	reasonUnreachable, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
-	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected, reasonQuarantined,
+	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected, reasonQuarantinedPrompt,
+	reasonQuarantinedRequest,
 }
 
 var descEnded, descRetried = describeReasons()
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -50,8 +50,8 @@
 	case !g.config.RetryBudget.HasRetry(j.service, now, instances):
 		return nil, "no-retry"
 	}
-	if _, quarantined := j.quarantined(); quarantined {
-		return nil, string(reasonQuarantined)
+	if reason, quarantined := j.quarantined(); quarantined {
+		return nil, string(reason)
 	}
 	request := j.placementRequest()
 	request.RespondedWithin = period
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -40,7 +40,8 @@
 	reasonCallerCanceled     reason = "caller-left"
 	reasonEndpointFailed     reason = "endpoint-failed"
 	reasonMisdirected        reason = "endpoint-moved"
-	reasonQuarantined        reason = "quarantined-prompt"
+	reasonQuarantinedPrompt  reason = "quarantined-prompt"
+	reasonQuarantinedRequest reason = "quarantined-request"
 )
 
 // refusal is an error response that this instance generates itself.
@@ -61,7 +62,7 @@
 	// retryAfterOutage applies to requests that need the object store while it is unavailable. Outages last for
 	// seconds, and a caller that retries during one is refused again.
 	retryAfterOutage = 2 * time.Second
-	// retryAfterQuarantined applies to requests with a prompt part in quarantine. It lasts at least so long after each of them,
+	// retryAfterQuarantined applies to requests that are in quarantine or have a prompt part that is. It lasts at least so long after each of them,
 	// which is usually longer than callers wait.
 	retryAfterQuarantined = quarantine.QuietPeriod
 	// maxRetrySpread bounds the time over which retries are spread after a long delay.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -54,6 +54,7 @@
 type standbyTally struct {
 	sent, dialFailures int
 	mayHaveRun         bool
+	crashChecks        []<-chan struct{}
 }
 
 // startStandby sends a second attempt while the first waits. The caller holds j.mu, and has taken a retry.
@@ -117,7 +118,9 @@
 		reason, result = string(j.interruption()), placement.Canceled
 	default:
 		reason, result = string(f.reason), f.result
-		j.recordLoss(s.attempt.ticket, f, false)
+		if check := j.recordLoss(s.attempt.ticket, f, false); check != nil {
+			j.ended.crashChecks = append(j.ended.crashChecks, check)
+		}
 	}
 	if f == nil || f.sent {
 		j.ended.sent++
@@ -214,6 +217,7 @@
 	j.sentCount += j.ended.sent
 	j.dialFailures += j.ended.dialFailures
 	j.mayHaveRun = j.mayHaveRun || j.ended.mayHaveRun
+	j.crashChecks = append(j.crashChecks, j.ended.crashChecks...)
 	j.ended = standbyTally{}
 }
 
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -22,7 +22,7 @@
 	Quarantined []Quarantined
 }
 
-// Crash is the crash of an endpoint with the prompt parts that may have caused it.
+// Crash is the crash of an endpoint with the parts that may have caused it.
 type Crash struct {
 	Endpoint registry.Endpoint
 	Age      time.Duration
@@ -194,7 +194,7 @@
 
 func (t *Tracker) mergeCrash(stated Crash, now time.Time, fromStore bool) {
 	c := t.crashOf(stated.Endpoint, now.Add(-max(stated.Age, 0)))
-	for _, part := range stated.Parts[:min(len(stated.Parts), maxPartsPerCrash)] {
+	for _, part := range stated.Parts[:min(len(stated.Parts), 2*maxPartsPerCrash)] {
 		t.addSuspect(c, part, suspect{
 			first: slices.Contains(stated.FirstParts, part), stored: fromStore || slices.Contains(stated.StoredParts, part), knownAt: now,
 		})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,15 +1,19 @@
-// Package quarantine finds prompt parts that crash endpoints, so that requests with them are refused.
+// Package quarantine finds prompt parts and whole requests that crash endpoints, so that requests with them are refused.
 //
-// When an endpoint crashes, each request that waited there for its first event is a suspect with its prompt parts, except the
-// last part, which belongs to the request alone. Two things tell the cause from the parts that were lost with it: the cause
+// When an endpoint crashes, each request that waited there for its first event is a suspect with its content as a whole and
+// with its prompt parts, except the last part, which belongs to the request alone. A part here is either of them; RequestPart
+// returns the one that stands for a whole request. Two things tell the cause from the parts that were lost with it: the cause
 // is in one crash after the other, and no answer to a request with it begins. A Tracker records both for this instance,
 // exchanges them with other instances, and puts a part in quarantine when
 //   - endpoints crashed at three separate times while requests with the part waited, and no answer with it began since, or at
 //     five such times if an answer with it ever began, and
-//   - no other part has as much evidence; parts that are always lost together need one more crash, many of them two more, and
-//   - the part is in half of the crashes since its first one, so that a long series of other crashes convicts nobody.
+//   - no other part of its kind has as much evidence; prompt parts that are always lost together need one more crash, many parts
+//     two more, and
+//   - a prompt part is in half of the crashes since its first one, so that a long series of other crashes convicts nobody.
 //
-// Endpoints that crash within a short time of each other, like those of a rack, count as one crash. Crashes with a part in
+// Endpoints that crash within a short time of each other, like those of a rack, count as one crash. A whole request with which no
+// answer ever began is an exception: it is in progress at several endpoints only because it is repeated, and a small service
+// would be gone before its crashes are separate. Whole requests come first, as the narrower cause. Crashes with a part in
 // quarantine are explained by it and count against no other part. After some time, the instance that decided lets one request
 // with the part pass. A quarantine ends when no request with the part came for a while, when an answer to one began after all,
 // or at the latest after a fixed time. After that, the next crash renews it.
@@ -29,6 +33,8 @@
 )
 
 const (
+	// requestPrefix begins the parts that stand for whole requests. IDs of prompt parts have no colon.
+	requestPrefix = "request:"
 	// groupPeriod is the time within which the crashes of several endpoints count as one.
 	groupPeriod = 250 * time.Millisecond
 	// minCrashes is the number of crashes that convict a part with which no answer ever began, minCrashesBegun the number for
@@ -56,9 +62,11 @@
 	// QuietPeriod is how long after the last request with the part a quarantine ends.
 	QuietPeriod = time.Minute
 	// trialDelay and trialDelayBegun are how long after a verdict a request with the part is tried, without and with an answer
-	// that began before it. A right verdict costs a crash, a wrong one ends. trialPeriod is the time for the result.
+	// that began before it, trialDelayTied the same for whole requests of which only one may be the cause. A right verdict costs
+	// a crash, a wrong one ends. trialPeriod is the time for the result.
 	trialDelay      = 3 * time.Minute
 	trialDelayBegun = 30 * time.Second
+	trialDelayTied  = 10 * time.Second
 	trialPeriod     = 10 * time.Second
 	// maxDuration bounds a quarantine while requests keep coming.
 	maxDuration = 10 * time.Minute
@@ -68,16 +76,24 @@
 	// it is, and would add up otherwise.
 	minAdvance = 300 * time.Millisecond
 
-	maxCrashes       = 128
+	maxCrashes = 128
+	// maxPartsPerCrash bounds the prompt parts of a crash, and also its whole requests.
 	maxPartsPerCrash = 64
 	maxVerdicts      = 256
 	maxFormer        = 256
 	maxEndpointsKept = 8
-	// begunGeneration is the number of parts in each of the two generations of parts with which an answer began.
+	// begunGeneration is the number of parts in each of the two generations of prompt parts with which an answer began, and of
+	// whole requests.
 	begunGeneration = 8192
 )
 
-// Verdict is a quarantine of a prompt part with its evidence.
+// RequestPart returns the part that stands for all requests with the same content.
+func RequestPart(contentID string) string { return requestPrefix + contentID }
+
+// IsRequestPart reports whether a part stands for a whole request.
+func IsRequestPart(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
+// Verdict is a quarantine of a part with its evidence.
 type Verdict struct {
 	Part string
 	// Endpoints holds the IDs of endpoints that crashed.
@@ -115,7 +131,7 @@
 	TakeoverDelay func() time.Duration
 }
 
-// Tracker holds what this instance knows of prompt parts that crash endpoints.
+// Tracker holds what this instance knows of parts that crash endpoints.
 type Tracker struct {
 	config Config
 	// inUse is set while there are crashes or verdicts, so that the path of requests usually takes no lock.
@@ -124,9 +140,10 @@
 
 	mu      sync.Mutex
 	crashes []*crash
-	// begun and begunBefore are the two generations of parts with which an answer began, with the last time.
-	begun, begunBefore map[string]time.Time
-	verdicts           map[string]*verdict
+	// begunParts and begunRequests hold when an answer last began, for prompt parts and for whole requests, of which there are
+	// many more.
+	begunParts, begunRequests recentTimes
+	verdicts                  map[string]*verdict
 	// former maps parts that were in quarantine to the time until which a single crash convicts them.
 	former map[string]time.Time
 	// judgeAt is when evidence that is not judged yet will be complete, zero if there is none.
@@ -177,8 +194,7 @@
 // New returns a Tracker that knows nothing.
 func New(c Config) *Tracker {
 	return &Tracker{
-		config: c, wake: make(chan struct{}, 1), begun: make(map[string]time.Time), begunBefore: make(map[string]time.Time),
-		verdicts: make(map[string]*verdict), former: make(map[string]time.Time),
+		config: c, wake: make(chan struct{}, 1), verdicts: make(map[string]*verdict), former: make(map[string]time.Time),
 	}
 }
 
@@ -208,32 +224,51 @@
 	}
 }
 
-func (t *Tracker) setBegun(part string, at time.Time) {
-	if len(t.begun) >= begunGeneration {
-		t.begun, t.begunBefore = make(map[string]time.Time, begunGeneration), t.begun
+// recentTimes maps the latest parts to times. It has two generations, of which the older one is dropped when the newer one is
+// full. The zero value is empty.
+type recentTimes struct {
+	newer, older map[string]time.Time
+}
+
+func (r *recentTimes) get(part string) time.Time {
+	if at, ok := r.newer[part]; ok {
+		return at
 	}
-	known := t.begunAt(part)
-	if known.After(at) {
-		at = known
+	return r.older[part]
+}
+
+func (r *recentTimes) set(part string, at time.Time) {
+	if r.newer == nil || len(r.newer) >= begunGeneration {
+		r.newer, r.older = make(map[string]time.Time), r.newer
 	}
-	if _, ok := t.begun[part]; !ok {
+	if _, ok := r.newer[part]; !ok {
 		// The part may be a piece of a whole header.
 		part = strings.Clone(part)
 	}
-	t.begun[part] = at
-	delete(t.former, part)
+	r.newer[part] = at
 }
 
-// begunAt returns when an answer with the part last began, zero if none did.
-func (t *Tracker) begunAt(part string) time.Time {
-	if at, ok := t.begun[part]; ok {
-		return at
+// begun returns the times at which answers with parts of the same kind began.
+func (t *Tracker) begun(part string) *recentTimes {
+	if IsRequestPart(part) {
+		return &t.begunRequests
 	}
-	return t.begunBefore[part]
+	return &t.begunParts
 }
 
+func (t *Tracker) setBegun(part string, at time.Time) {
+	if known := t.begunAt(part); known.After(at) {
+		at = known
+	}
+	t.begun(part).set(part, at)
+	delete(t.former, part)
+}
+
+// begunAt returns when an answer with the part last began, zero if none did.
+func (t *Tracker) begunAt(part string) time.Time { return t.begun(part).get(part) }
+
 // Crashed records that an endpoint ended at the given time while a request with the parts waited there for its first event.
-// The parts are in the order of the prompt, without the last one.
+// The prompt parts are in the order of the prompt, without the last one. The part of the whole request follows them.
 func (t *Tracker) Crashed(e registry.Endpoint, parts []string, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -242,7 +277,7 @@
 	order := slices.Clone(parts)
 	slices.SortStableFunc(order, func(a, b string) int { return t.begunAt(a).Compare(t.begunAt(b)) })
 	for _, part := range order {
-		t.addSuspect(c, part, suspect{first: part == parts[0], own: true, knownAt: now})
+		t.addSuspect(c, part, suspect{first: part == parts[0] && !IsRequestPart(part), own: true, knownAt: now})
 	}
 	c.unsent = true
 	t.scheduleJudge(now.Add(replyPeriod))
@@ -273,7 +308,7 @@
 func (t *Tracker) addSuspect(c *crash, part string, s suspect) {
 	known := c.parts[part]
 	if known == nil {
-		if len(c.parts) < maxPartsPerCrash {
+		if c.count(IsRequestPart(part)) < maxPartsPerCrash {
 			c.parts[strings.Clone(part)] = &s
 		}
 		return
@@ -284,6 +319,16 @@
 	}
 }
 
+// count returns the number of suspects of a kind.
+func (c *crash) count(requests bool) (n int) {
+	for part := range c.parts {
+		if IsRequestPart(part) == requests {
+			n++
+		}
+	}
+	return n
+}
+
 // Ended reports whether the process of an endpoint is known to have crashed lately.
 func (t *Tracker) Ended(e registry.Endpoint, now time.Time) bool {
 	t.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -209,11 +209,15 @@
 		"part": c.Part, "endpoints": c.Endpoints, "last_crash_ms": c.LastCrashAge.Milliseconds(), "remaining_ms": c.Remaining.Milliseconds(),
 		"from_instance": c.FromInstance,
 	})
+	what := "prompt part"
+	if quarantine.IsRequestPart(c.Part) {
+		what = "request"
+	}
 	if c.Ended != "" {
-		logger.WithField("reason", c.Ended).Info("router: quarantine of a prompt part ended")
+		logger.WithField("reason", c.Ended).Info("router: quarantine of a " + what + " ended")
 		return
 	}
-	logger.Warn("router: prompt part put in quarantine, endpoints crashed while requests with it waited")
+	logger.Warn("router: " + what + " put in quarantine, endpoints crashed while requests with it waited")
 }
 
 // evidenceTakeoverDelay returns a random delay before this instance writes evidence of others to the store. It grows with the
