--- a/router/crash_request_test.go
+++ b/router/crash_request_test.go
@@ -71,11 +71,13 @@
 
 // contentRequest is one attempt of a caller.
 type contentRequest struct {
-	at             time.Time
-	instance, path string
-	status         int
-	complete       bool
-	problem        string
+	at                 time.Time
+	id, instance, path string
+	// repeated is set if the caller sends the request again.
+	repeated bool
+	status   int
+	complete bool
+	problem  string
 }
 
 // contentPlay is an emulation with requests that may be the same as earlier ones.
@@ -174,7 +176,7 @@
 
 // request sends a request, and again at once if it fails and may be repeated.
 func (p *contentPlay) request(path string) {
-	for range maxRepeats + 1 {
+	for repeat := range maxRepeats + 1 {
 		p.emulator.mu.Lock()
 		in := p.pickInstance()
 		p.emulator.mu.Unlock()
@@ -185,6 +187,7 @@
 		}
 		p.crashMu.Unlock()
 		r := p.send(path, in)
+		r.repeated = repeat > 0
 		repeatable := !strings.HasPrefix(path, "/once/") || r.status == http.StatusServiceUnavailable
 		if r.complete || !repeatable {
 			return
@@ -195,13 +198,12 @@
 
 // send sends one attempt. All requests to a path have the same body.
 func (p *contentPlay) send(path string, in *emulatedInstance) *contentRequest {
-	r := &contentRequest{at: time.Now(), instance: in.name, path: path}
+	r := &contentRequest{at: time.Now(), id: p.nextID(), instance: in.name, path: path}
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.requests = append(p.requests, r)
 	}()
-	id := p.nextID()
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+in.address(80)+path, strings.NewReader("body of "+path))
@@ -209,7 +211,7 @@
 		panic(err)
 	}
 	req.Host = "a.example"
-	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "6000", "Api-Key": "key-0"} {
+	for name, value := range map[string]string{"X-Request-Id": r.id, "X-Deadline-Ms": "6000", "Api-Key": "key-0"} {
 		req.Header.Set(name, value)
 	}
 	if p.scenario.engine {
--- a/router/emulated_cut_test.go
+++ b/router/emulated_cut_test.go
@@ -19,21 +19,44 @@
 	cutDrops
 )
 
+// connFate is what a cut does to the connections that are open.
+type connFate int
+
+const (
+	// connsClose closes them.
+	connsClose connFate = iota
+	// connsReset resets them.
+	connsReset
+	// connsHang passes on nothing in either direction, and ends them after unackedTimeout.
+	connsHang
+	// connsLive leaves them open.
+	connsLive
+)
+
+// dialerTimeout is the timeout of gateway.NewDialer.
+const dialerTimeout = 300 * time.Millisecond
+
+// unackedTimeout is how long a connection that hangs lasts.
+const unackedTimeout = 2 * time.Second
+
 // link is a connection between two processes.
 type link struct {
 	dialer, listener, address string
 	conn                      net.Conn
 }
 
-// isCut reports whether a cut of the process at the port affects the link.
-func (l link) isCut(process, port string) bool {
-	return strings.HasSuffix(l.address, ":"+port) && l.dialer != l.listener && (l.dialer == process || l.listener == process)
+// cut is a cut of one process from all others at a port, or from all processes whose names have a prefix.
+type cut struct {
+	process, port, prefix string
+	mode                  cutMode
 }
 
-// cut is a cut of one process from all others at a port.
-type cut struct {
-	process, port string
-	mode          cutMode
+// affects reports whether the cut affects the link.
+func (c cut) affects(l link) bool {
+	if c.prefix != "" {
+		return l.dialer == c.process && strings.HasPrefix(l.listener, c.prefix)
+	}
+	return strings.HasSuffix(l.address, ":"+c.port) && l.dialer != l.listener && (l.dialer == c.process || l.listener == c.process)
 }
 
 // links holds all connections of a memoryNetwork, and the cuts in force.
@@ -48,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.cuts {
-		if l.isCut(c.process, c.port) {
+		if c.affects(l) {
 			return c, true
 		}
 	}
@@ -58,20 +81,36 @@
 // cutProcess cuts a process off from all others at a port: its own connections to that port of others and theirs to its own.
 // Open connections are closed.
 func (n *memoryNetwork) cutProcess(process, port string, mode cutMode) {
+	n.addCut(cut{process: process, port: port, mode: mode}, connsClose)
+}
+
+// cutFrom cuts a process off from all processes whose names have the prefix.
+func (n *memoryNetwork) cutFrom(process, prefix string, mode cutMode, fate connFate) {
+	n.addCut(cut{process: process, prefix: prefix, mode: mode}, fate)
+}
+
+func (n *memoryNetwork) addCut(c cut, fate connFate) {
 	n.links.mu.Lock()
-	n.links.cuts = append(n.links.cuts, cut{process: process, port: port, mode: mode})
-	var closing, rest []link
+	n.links.cuts = append(n.links.cuts, c)
+	var affected, rest []link
 	for _, l := range n.links.open {
-		if l.isCut(process, port) {
-			closing = append(closing, l)
+		if c.affects(l) && fate != connsLive {
+			affected = append(affected, l)
 		} else {
 			rest = append(rest, l)
 		}
 	}
 	n.links.open = rest
 	n.links.mu.Unlock()
-	for _, l := range closing {
-		_ = l.conn.Close()
+	for _, l := range affected {
+		switch conn := l.conn.(*memoryConn); fate {
+		case connsReset:
+			conn.reset()
+		case connsHang:
+			conn.hang()
+		default:
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -122,8 +161,12 @@
 // dialError returns the error of connecting over a link that is cut, when it shows.
 func (c cut) dialError(ctx context.Context) error {
 	if c.mode == cutDrops {
-		<-ctx.Done()
-		return ctx.Err()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(dialerTimeout):
+			return &net.OpError{Op: "dial", Net: "memory", Err: syscall.ETIMEDOUT}
+		}
 	}
 	select {
 	case <-ctx.Done():
--- a/router/emulated_network_test.go
+++ b/router/emulated_network_test.go
@@ -150,15 +150,54 @@
 type memoryConn struct {
 	net.Conn
 	peer memoryAddr
-	// isReset is set once either end was reset.
-	isReset *atomic.Bool
+	*connState
 }
 
+// connState is the state that both ends of a connection share.
+type connState struct {
+	// isReset is set once either end was reset, isTimedOut once the connection has hung for too long.
+	isReset, isTimedOut atomic.Bool
+	// hangs is closed when nothing is passed on any more.
+	hangs    chan struct{}
+	hangOnce sync.Once
+	// ended is closed when the connection has hung for too long, or one end was closed.
+	ended   chan struct{}
+	endOnce sync.Once
+}
+
+func (s *connState) end() { s.endOnce.Do(func() { close(s.ended) }) }
+
 // newMemoryConns returns both ends of a new connection.
 func newMemoryConns(dialer, listener memoryAddr) (local, accepted *memoryConn) {
 	a, b := net.Pipe()
-	isReset := new(atomic.Bool)
-	return &memoryConn{Conn: a, peer: listener, isReset: isReset}, &memoryConn{Conn: b, peer: dialer, isReset: isReset}
+	state := &connState{hangs: make(chan struct{}), ended: make(chan struct{})}
+	return &memoryConn{Conn: a, peer: listener, connState: state}, &memoryConn{Conn: b, peer: dialer, connState: state}
+}
+
+// hang passes on nothing from now on. After unackedTimeout, reads and writes of both ends fail with ETIMEDOUT.
+func (c *memoryConn) hang() {
+	c.hangOnce.Do(func() { close(c.hangs) })
+	time.AfterFunc(unackedTimeout, func() {
+		c.isTimedOut.Store(true)
+		_ = c.Close()
+	})
+}
+
+// awaitEnd waits for the end of a connection that hangs. It returns false at once for any other.
+func (c *memoryConn) awaitEnd() bool {
+	select {
+	case <-c.hangs:
+		<-c.ended
+		return true
+	default:
+		return false
+	}
+}
+
+// Close implements net.Conn. It also ends the other end of a connection that hangs.
+func (c *memoryConn) Close() error {
+	c.end()
+	return c.Conn.Close()
 }
 
 // reset closes the connection so that reads and writes of the peer fail with ECONNRESET. After Close, reads return io.EOF.
@@ -169,17 +208,28 @@
 
 func (c *memoryConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if c.awaitEnd() {
+		return 0, c.translate("read", net.ErrClosed)
+	}
 	return n, c.translate("read", err)
 }
 
 func (c *memoryConn) Write(b []byte) (int, error) {
+	if c.awaitEnd() {
+		return 0, c.translate("write", net.ErrClosed)
+	}
 	n, err := c.Conn.Write(b)
 	return n, c.translate("write", err)
 }
 
 // translate returns the error of an operation on a connection that may have been reset.
 func (c *memoryConn) translate(op string, err error) error {
-	if err == nil || !c.isReset.Load() {
+	switch {
+	case err == nil:
+		return nil
+	case c.isTimedOut.Load():
+		return &net.OpError{Op: op, Net: "memory", Addr: c.peer, Err: syscall.ETIMEDOUT}
+	case !c.isReset.Load():
 		return err
 	}
 	return &net.OpError{Op: op, Net: "memory", Addr: c.peer, Err: syscall.ECONNRESET}
