--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -80,7 +80,8 @@
 	return c.done
 }
 
-// check connects to the endpoint. Only a refused connection shows that the process has ended.
+// check connects to the endpoint. Only a refused connection shows that the process has ended, unless another instance connects to
+// it: then this one is partitioned from it.
 func (d *crashDetector) check(c *crashCheck) {
 	g := d.gateway
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -92,8 +93,13 @@
 	d.mu.Lock()
 	d.checks = slices.DeleteFunc(d.checks, func(other *crashCheck) bool { return other == c })
 	d.mu.Unlock()
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "connected": err == nil}).
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	reached := refused && g.config.ReachedByOthers != nil && g.config.ReachedByOthers(ctx, c.endpoint)
+	if reached {
+		g.reach.Failed(c.endpoint, g.config.Clock.Now())
+	}
+	if !refused || reached {
+		g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "connected": err == nil, "reached_by_others": reached}).
 			Info("gateway: endpoint has not ended, although requests were lost before their first event")
 		return
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,7 +50,14 @@
 func (j *job) newAttempt(ticket *placement.Ticket) *attempt {
 	a := &attempt{ticket: ticket}
 	ctx, cancel := context.WithCancelCause(j.ctx)
-	a.ctx, a.cancel = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { a.written.Store(true) }}), cancel
+	a.ctx, a.cancel = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !info.Reused {
+				j.gateway.reach.Connected(ticket.Endpoint, j.gateway.config.Clock.Now())
+			}
+		},
+		WroteHeaders: func() { a.written.Store(true) },
+	}), cancel
 	a.request = j.endpointRequest(a.ctx, ticket.Endpoint)
 	return a
 }
@@ -96,6 +103,9 @@
 	for {
 		ticket, missing := j.nextTicket(last)
 		if missing != nil {
+			if r := j.delegateLate(true); r != nil || j.answered {
+				return r
+			}
 			return j.giveUp(*missing)
 		}
 		f := j.tryEndpoint(ticket)
@@ -108,7 +118,11 @@
 		if stop := j.stopForCrashes(ticket, f); stop != nil {
 			return j.giveUp(j.preferErrorResponse(*stop))
 		}
-		if !j.mayRetry(f) {
+		retry := j.mayRetry(f)
+		if r := j.delegateLate(!retry); r != nil || j.answered {
+			return r
+		}
+		if !retry {
 			return j.giveUp(j.preferErrorResponse(*f))
 		}
 		last = *f
@@ -399,11 +413,13 @@
 	if j.eventCount > 0 {
 		forwarded.ResumeAfter = strconv.FormatInt(j.lastEventID, 10)
 	}
+	header := j.gateway.config.Headers.ForwardHeader(j.r.Header, forwarded)
+	header.Del(delegatedHeader)
 	req := &http.Request{
 		Method: j.r.Method,
 		URL:    targetURL(j.r, e.Address),
 		Host:   j.r.Host,
-		Header: j.gateway.config.Headers.ForwardHeader(j.r.Header, forwarded),
+		Header: header,
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		// Without GetBody, the transport never resends a request itself.
 		Body:          io.NopCloser(bytes.NewReader(j.body)),
@@ -428,7 +444,11 @@
 	j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "written": written, "content": j.content}).WithError(err).
 		Info("gateway: no response from the endpoint")
 	var dial *dialError
-	if errors.As(err, &dial) || !written {
+	isDial := errors.As(err, &dial)
+	if isDial && j.ctx.Err() == nil {
+		j.gateway.reach.Failed(ticket.Endpoint, j.gateway.config.Clock.Now())
+	}
+	if isDial || !written {
 		return &failure{reason: reasonUnreachable, result: placement.Unreachable}
 	}
 	result := placement.InvalidResponse
@@ -436,6 +456,7 @@
 	if errors.As(err, &netErr) && netErr.Timeout() && j.ctx.Err() == nil {
 		// The peer no longer acknowledges data.
 		result = placement.Unreachable
+		j.gateway.reach.Failed(ticket.Endpoint, j.gateway.config.Clock.Now())
 	}
 	return &failure{reason: reasonResponseLost, result: result, mayHaveRun: true, sent: true}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
 	"pumiceshelf/quarantine"
+	"pumiceshelf/reach"
 	"pumiceshelf/registry"
 	"pumiceshelf/retrybudget"
 	"pumiceshelf/routing"
@@ -60,11 +61,17 @@
 	// AwaitFreshState blocks until the state of this instance is up to date. It returns immediately unless the process
 	// has just resumed from a freeze. If nil, requests never wait.
 	AwaitFreshState func(ctx context.Context)
-	// Domain is the failure domain of this instance.
-	Domain  string
-	Clock   clockwork.Clock
-	Log     log.Interface
-	Metrics metrics.Registry
+	// Self is the name of this instance, Domain its failure domain.
+	Self, Domain string
+	// Delegates returns the other instances that may serve requests if this one does not reach their service. It may be nil.
+	Delegates func() []Delegate
+	// ReachedByOthers reports whether another instance can connect to an endpoint. If nil, none can.
+	ReachedByOthers func(ctx context.Context, e registry.Endpoint) bool
+	Clock           clockwork.Clock
+	Log             log.Interface
+	Metrics         metrics.Registry
+	// DialInstance connects to other instances. If nil, it is that of NewDialer with MaxUnackedTime.
+	DialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 	// Dial connects to endpoints. If nil, it is that of NewDialer with MaxEndpointUnackedTime.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Uniform returns a uniformly distributed random number in [0, 1).
@@ -73,12 +80,15 @@
 
 // Gateway is an http.Handler that serves the requests of callers.
 type Gateway struct {
-	config    Config
-	transport *http.Transport
-	metrics   *gatewayMetrics
-	crashes   *crashDetector
-	inflight  atomic.Int64
-	draining  atomic.Bool
+	config Config
+	// transport sends requests to endpoints, delegateTransport to other instances.
+	transport, delegateTransport *http.Transport
+	metrics                      *gatewayMetrics
+	crashes                      *crashDetector
+	reach                        *reach.Tracker
+	delegates                    delegates
+	inflight                     atomic.Int64
+	draining                     atomic.Bool
 }
 
 // New returns a Gateway for the given configuration.
@@ -86,10 +96,16 @@
 	if c.Dial == nil {
 		c.Dial = NewDialer(MaxEndpointUnackedTime).DialContext
 	}
+	if c.DialInstance == nil {
+		c.DialInstance = NewDialer(MaxUnackedTime).DialContext
+	}
 	if c.Quarantine == nil {
 		c.Quarantine = quarantine.New(quarantine.Config{})
 	}
-	g := &Gateway{config: c, transport: newTransport(c.Dial), metrics: newGatewayMetrics(c.Metrics)}
+	g := &Gateway{config: c, transport: newTransport(c.Dial), delegateTransport: newTransport(c.DialInstance), metrics: newGatewayMetrics(c.Metrics)}
+	// The other instance may close a kept connection just as a request is sent, and then it is not known whether it ran.
+	g.delegateTransport.DisableKeepAlives = true
+	g.reach = reach.New(g.logReach)
 	g.crashes = &crashDetector{gateway: g}
 	return g
 }
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -78,6 +78,9 @@
 	ParseRequest(h http.Header) (RequestMeta, error)
 	// ForwardHeader returns the header of the request that is sent to an endpoint.
 	ForwardHeader(h http.Header, f ForwardMeta) http.Header
+	// DelegatedHeader returns the header of the request that is passed on to another instance on behalf of the caller, who waits
+	// that much longer.
+	DelegatedHeader(h http.Header, timeout time.Duration) http.Header
 	// ParseResponse parses the status and header of an endpoint's response.
 	ParseResponse(status int, h http.Header) ResponseMeta
 	// ResponseHeader returns the header that is sent to the caller with an endpoint's response.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -85,6 +85,11 @@
 	eventCount        int64
 	firstEventLatency time.Duration
 
+	// delegatedBy is the name of the instance that passed the request on for its caller, empty if there is none. delegated is set
+	// once this instance tried to pass it on, answered once another one has responded.
+	delegatedBy         string
+	delegated, answered bool
+
 	// attemptBegun is set once the endpoint of the present attempt began to answer.
 	attemptBegun bool
 	// crashChecks holds a channel for each endpoint that lost the request, closed once it is known whether it has ended.
@@ -101,11 +106,14 @@
 	if await := j.gateway.config.AwaitFreshState; await != nil {
 		await(j.r.Context())
 	}
-	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.checkQuarantine, j.findOrigin, j.reserveTokens, j.forward} {
+	for _, step := range []func() *refusal{j.matchRoute, j.identifyCustomer, j.readBody, j.checkQuarantine, j.delegateEarly, j.findOrigin, j.reserveTokens, j.forward} {
 		if r := step(); r != nil {
 			j.refuse(*r)
 			return
 		}
+		if j.answered {
+			return
+		}
 	}
 }
 
@@ -113,7 +121,7 @@
 func (j *job) matchRoute() *refusal {
 	g := j.gateway
 	meta, err := g.config.Headers.ParseRequest(j.r.Header)
-	j.meta = meta
+	j.meta, j.delegatedBy = meta, j.r.Header.Get(delegatedHeader)
 	j.table = g.config.Table()
 	if j.table == nil || g.config.Endpoints() == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfiguration, retryAfter: retryAfterTransient}
@@ -288,6 +296,9 @@
 	if j.customer != nil {
 		f["customer"] = j.customer.Name
 	}
+	if j.delegatedBy != "" {
+		f["delegated_by"] = j.delegatedBy
+	}
 	if j.meta.PromptTokens > 0 {
 		f["prompt_tokens"], f["charged_tokens"], f["first_ms"], f["events"] =
 			j.meta.PromptTokens, charged, j.firstEventLatency.Milliseconds(), j.eventCount
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,6 +14,7 @@
 	descAttempts          = telemetry.Describe("gateway.attempts", "requests", "Requests sent to endpoints, repeats included.")
 	descLimited           = telemetry.Describe("gateway.attempts.limited", "requests", "Requests sent to endpoints that limit their request rate.")
 	descCrashes           = telemetry.Describe("gateway.endpoint_crashes", "crashes", "Endpoint processes found to have ended while requests waited for their first event.")
+	descDelegated         = telemetry.Describe("gateway.delegated", "requests", "Requests that another instance answered because their service was out of reach.")
 	descTotalLatency      = telemetry.Describe("gateway.latency.total", "nanoseconds", "Time to the end of an endpoint's whole answer.")
 	descFirstEventLatency = telemetry.Describe("gateway.latency.first_event", "nanoseconds", "Time to the first event of a stream.")
 )
@@ -41,7 +42,7 @@
 
 type gatewayMetrics struct {
 	requests, completed, attempts   metrics.Counter
-	limited, crashes                metrics.Counter
+	limited, crashes, delegated     metrics.Counter
 	totalLatency, firstEventLatency metrics.Timer
 	ended, retried                  map[reason]metrics.Counter
 }
@@ -49,7 +50,7 @@
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
 	m := &gatewayMetrics{
 		requests: descRequests.Counter(r), completed: descCompleted.Counter(r), attempts: descAttempts.Counter(r), limited: descLimited.Counter(r),
-		crashes:      descCrashes.Counter(r),
+		crashes: descCrashes.Counter(r), delegated: descDelegated.Counter(r),
 		totalLatency: descTotalLatency.Timer(r), firstEventLatency: descFirstEventLatency.Timer(r),
 		ended: make(map[reason]metrics.Counter), retried: make(map[reason]metrics.Counter),
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,6 +69,7 @@
 func (j *job) setResponseHeader(from http.Header) {
 	h := j.w.Header()
 	maps.Copy(h, j.gateway.config.Headers.ResponseHeader(from))
+	h.Del(outOfReachHeader)
 	if _, ok := h["Content-Type"]; !ok {
 		// net/http detects a content type unless the header has the key.
 		h["Content-Type"] = nil
--- a/members/members.go
+++ b/members/members.go
@@ -82,6 +82,8 @@
 	// Versions returns the software versions that a service had lately, and whether they cover a time that is longer than any
 	// stream.
 	Versions func(service string) (versions []string, complete bool)
+	// CanConnect reports whether this instance can connect to an endpoint, if it is listed with that address.
+	CanConnect func(ctx context.Context, id, address string) bool
 	// Unanswered is called for each loan or allocation request without a response. It may be nil.
 	Unanswered func(customer string, tokens int64)
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -72,6 +72,18 @@
 	return out
 }
 
+// Lists reports whether an endpoint with the ID and the address may get new requests.
+func (v *View) Lists(id, address string) bool {
+	for _, list := range v.services {
+		for _, e := range list {
+			if e.ID == id && e.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // EndpointCounts returns the number of endpoints of each service.
 func (v *View) EndpointCounts() map[string]int {
 	out := make(map[string]int)
--- a/router/router.go
+++ b/router/router.go
@@ -114,6 +114,7 @@
 	}
 	dialEndpoint := c.Dial
 	if c.Dial == nil {
+		dialEndpoint = gateway.NewDialer(gateway.MaxEndpointUnackedTime).DialContext
 		c.Dial = gateway.NewDialer(gateway.MaxUnackedTime).DialContext
 	}
 	r := &Router{config: c, freezeGuard: newFreezeGuard(c.Clock), versions: registry.NewVersionHistory()}
@@ -125,7 +126,7 @@
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
-		Self:  &api.FleetMember{Incarnation: string(incarnation), PeerAddress: c.Settings.PeerAddress, Domain: c.Settings.Domain},
+		Self:  &api.FleetMember{Incarnation: string(incarnation), PeerAddress: c.Settings.PeerAddress, Domain: c.Settings.Domain, CallerAddress: c.Settings.CallerAddress},
 		Seeds: c.Settings.SeedPeers,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return c.Dial(ctx, "tcp", address)
@@ -142,7 +143,10 @@
 		Abandon:      func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
 		AcceptReturn: func(back prepaid.Return) bool { return r.prepaid.AcceptReturn(back) },
 		TakeBack:     func(tokens map[string]int64) { r.prepaid.TakeBack(tokens) },
-		Unanswered:   func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
+		CanConnect: func(ctx context.Context, id, address string) bool {
+			return r.canConnect(ctx, dialEndpoint, id, address)
+		},
+		Unanswered: func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
 	})
 	r.configurationFollower = follow.New(follow.Config{
 		Collection: c.Decoder.ConfigurationCollection(), Store: c.Store, QueryPeers: r.members.FetchNewerConfiguration,
@@ -162,6 +166,7 @@
 		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Quarantine: r.quarantine, Origins: r.members,
 		EndpointsAge: r.endpointsAge, Versions: r.softwareVersions,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
+		Self: c.Settings.Name, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: c.Dial,
 		AwaitFreshState: r.freezeGuard.Wait, Dial: dialEndpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.callerServer = &http.Server{
@@ -172,6 +177,28 @@
 	return r
 }
 
+// delegates returns the other instances that may serve requests of this one.
+func (r *Router) delegates() (out []gateway.Delegate) {
+	for _, a := range r.members.CallerAddresses() {
+		out = append(out, gateway.Delegate(a))
+	}
+	return out
+}
+
+// canConnect reports whether this instance can connect to an endpoint, if it is listed with that address.
+func (r *Router) canConnect(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), id, address string) bool {
+	view := r.endpointView.Load()
+	if view == nil || !view.Lists(id, address) {
+		return false
+	}
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func newRetryBudget(s *api.RouterSettings) *retrybudget.Budget {
 	return retrybudget.New(retrybudget.Limits{
 		Window: s.RetryWindow.AsDuration(), Ratio: s.GetRetryRatio(), Slack: s.GetRetrySlack(),
@@ -298,6 +325,7 @@
 	group.Go(func() error { return r.members.RunPushingEvidence(background) })
 	group.Go(func() error { return r.members.RunStoringEvidence(background) })
 	group.Go(func() error { return r.members.Serve(background, listeners.peer) })
+	group.Go(func() error { return r.gateway.RunProbing(background) })
 	group.Go(func() error { return serve(r.callerServer, listeners.caller) })
 	group.Go(func() error { return serve(r.readyServer, listeners.ready) })
 	group.Go(func() error {
