Divide the slots of brittle endpoints among the instances (LIMIT)

Endpoints may say in all responses that they fall over if they have to reject more than N requests in a second for want of room. Nothing read it: under load, each instance learned from its own rejections that an endpoint was full, and all together caused far more than N.

While the endpoints of a service say so, each instance has at most its part of each endpoint's slots in progress, and pauses after a rejection. What is over gets rate-limited, as not run.

--- a/endpointlimit/endpointlimit.go
+++ b/endpointlimit/endpointlimit.go
@@ -286,6 +286,12 @@
 	return before
 }
 
+// Rank returns the number of instances that become senders of an endpoint before this one, and the number of all instances.
+func (l *Limits) Rank(e registry.Endpoint) (before, all int) {
+	instances := l.config.Instances()
+	return l.rank(instances, e.ID), len(instances)
+}
+
 // hash returns a number by which the instances become senders of an endpoint, the lowest first.
 func (l *Limits) hash(instance, endpointID string) uint64 {
 	return xxhash.Sum64String(instance + "\x00" + endpointID)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -348,6 +348,7 @@
 	}
 	if !a.meta.Misdirected {
 		j.recordRateLimit(a, sentAt)
+		j.recordMaxRejected(a, sentAt)
 		j.recordDraining(a)
 		j.recordPause(a)
 	}
@@ -385,6 +386,19 @@
 	}
 }
 
+// recordMaxRejected records how many requests the endpoint can reject without ending, if the response says so.
+func (j *job) recordMaxRejected(a *attempt, sentAt time.Time) {
+	logger := j.logger().WithField("endpoint", a.ticket.Endpoint.ID)
+	switch {
+	case a.meta.InvalidMaxRejected != "":
+		logger.WithField("rejected_per_s", a.meta.InvalidMaxRejected).Warn("gateway: endpoint names an invalid number of rejected requests")
+	case a.meta.MaxRejected == nil:
+		a.ticket.RecordNoMaxRejected(sentAt)
+	case a.ticket.RecordMaxRejected(*a.meta.MaxRejected, j.gateway.config.Clock.Now()):
+		logger.WithField("rejected_per_s", *a.meta.MaxRejected).Info("gateway: endpoints of the service end if they reject too many requests")
+	}
+}
+
 // recordDraining records that an endpoint is about to stop, if the response says so.
 func (j *job) recordDraining(a *attempt) {
 	if a.meta.Draining && a.ticket.RecordDraining() {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -68,6 +68,11 @@
 	// RateLimit is the number of requests per second that the endpoint accepts from all instances together, or nil if it
 	// names no limit.
 	RateLimit *float64
+	// MaxRejected is the number of requests per second that the endpoint can reject for want of room without ending, or nil if it
+	// names none.
+	MaxRejected *float64
+	// InvalidMaxRejected is the text of such a number that cannot be parsed.
+	InvalidMaxRejected string
 	// InvalidRateLimit is the text of a rate limit that cannot be parsed.
 	InvalidRateLimit string
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -90,7 +90,8 @@
 	NoEndpoint
 	// Overloaded means that no endpoint is expected to return a first token in time.
 	Overloaded
-	// RateLimited means that all endpoints limit their request rate, and this instance has used its part.
+	// RateLimited means that all endpoints limit their request rate or the requests that they can reject, and this instance has
+	// used its part.
 	RateLimited
 	// Paused means that all endpoints have asked this instance for a pause.
 	Paused
@@ -116,6 +117,7 @@
 	Unused(e registry.Endpoint, now time.Time) bool
 	// Take records that a request is sent.
 	Take(e registry.Endpoint, now time.Time)
+	Instances
 }
 
 // Chooser selects endpoints from the load, failures and cached prompt parts that this instance has recorded for them.
@@ -124,13 +126,16 @@
 	states  map[string]*endpointState
 	notices map[string]*notice
 	domains map[string]*domainState
+	// brittle holds what the endpoints of services say of requests that they reject.
+	brittle map[string]brittleness
 	limits  Limits
 }
 
 // New returns a Chooser without any recorded state.
 func New(l Limits) *Chooser {
 	return &Chooser{
-		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState), limits: l,
+		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState),
+		brittle: make(map[string]brittleness), limits: l,
 	}
 }
 
@@ -196,6 +201,7 @@
 // remains; failing or busy ones are excluded unless that would exclude more than half of the rest.
 func (c *Chooser) usable(endpoints []registry.Endpoint, tried map[string]bool, now time.Time) (usable []*endpointState, limited bool) {
 	var healthy, reachable, all []*endpointState
+	shares := c.shares(endpoints, now)
 	for _, e := range endpoints {
 		if tried[e.ID] || !c.noticeOf(e).accepts(now) {
 			continue
@@ -205,6 +211,10 @@
 			continue
 		}
 		s := c.stateOf(e)
+		if shares != nil && (s.inflight >= shares[e.ID] || now.Before(s.rejectedUntil)) {
+			limited = true
+			continue
+		}
 		all = append(all, s)
 		if now.Before(s.ejectedUntil) || c.domains[e.Domain].partitioned(now) {
 			continue
@@ -311,6 +321,9 @@
 	t.state.inflight--
 	t.state.finishPrefill(t.prefill)
 	until := t.state.recordResult(r, now)
+	if r == Busy {
+		t.chooser.recordRejection(t.state, now)
+	}
 	t.chooser.updateDomain(t.state.endpoint, r, now)
 	return until
 }
--- a/placement/state.go
+++ b/placement/state.go
@@ -46,8 +46,10 @@
 	// silent is set while the endpoint is ejected only because it does not respond.
 	silent    bool
 	busyUntil time.Time
-	load      Load
-	loadAt    time.Time
+	// rejectedUntil is when an endpoint of a brittle service that rejected a request may get the next one.
+	rejectedUntil time.Time
+	load          Load
+	loadAt        time.Time
 	// lostConnectionAt is when a connection to the endpoint last failed.
 	lostConnectionAt time.Time
 	// respondedAt is when the endpoint last responded to a request or sent a stream event.
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// defaultSlots is the number of slots of an emulatedEndpoint.
+const defaultSlots = 128
+
 const (
 	// streamEventCount and streamEventGap describe the streams of an emulatedEndpoint.
 	streamEventCount = 12
@@ -37,9 +40,11 @@
 // request rate while it has one.
 type emulatedEndpoint struct {
 	id, address, version string
-	started              time.Time
-	process              *process
-	server               *http.Server
+	// slots is the number of requests that it runs at once, as its entry says.
+	slots   int
+	started time.Time
+	process *process
+	server  *http.Server
 	// respond writes a response. It must be set before the first request.
 	respond http.HandlerFunc
 
@@ -57,7 +62,7 @@
 // startEndpoint starts an endpoint. It is not registered yet. The handlers that wrap returns serve its requests.
 func startEndpoint(n *memoryNetwork, id, address, version string, wrap ...func(*emulatedEndpoint) http.Handler) *emulatedEndpoint {
 	e := &emulatedEndpoint{
-		id: id, address: address, version: version, started: time.Now(), process: n.newProcess(id), told: make(map[string]time.Time),
+		id: id, address: address, version: version, slots: defaultSlots, started: time.Now(), process: n.newProcess(id), told: make(map[string]time.Time),
 	}
 	e.respond = e.respondStream
 	e.server = &http.Server{Handler: e, ConnContext: withConn}
@@ -80,8 +85,8 @@
 
 // entry returns the endpoint's entry in service discovery.
 func (e *emulatedEndpoint) entry(state string) string {
-	return fmt.Sprintf(`{"service":"model","address":%q,"zone":"hall-a","version":%q,"slots":128,"state":%q,"born":%d}`,
-		e.address, e.version, state, e.started.UnixMilli())
+	return fmt.Sprintf(`{"service":"model","address":%q,"zone":"hall-a","version":%q,"slots":%d,"state":%q,"born":%d}`,
+		e.address, e.version, e.slots, state, e.started.UnixMilli())
 }
 
 // nameLimit names a limit in all responses from now on. A negative rate withdraws it.
