Bound the memory of responses that are not complete

Endpoints may send bytes without end: in a header, in informational responses, in a body or in an event. Each response was bounded (64 KiB of header, 16 MiB of body, 1 MiB an event) and its connection closed, but not all together: 200 bodies of a buffered response may take 3.2 GB of an instance that has 284 MB.

All requests of an instance now share a budget of a sixth of its memory, 64 MiB by default, for responses that are held until they are complete and for large events. One that would exceed it is cut off at once as answer-cut, and its connection is closed.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -25,20 +25,50 @@
 
 // eventReader splits a text/event-stream into events without changing a byte. An empty line ends an event; an event
 // without that line is incomplete and never returned.
-type eventReader struct{ in *bufio.Reader }
+type eventReader struct {
+	in     *bufio.Reader
+	budget *byteBudget
+	// taken is what the present event holds of the budget.
+	taken int64
+}
+
+func newEventReader(r io.Reader, b *byteBudget) *eventReader {
+	return &eventReader{in: bufio.NewReader(r), budget: b}
+}
+
+// release gives back what the present event holds of the budget.
+func (e *eventReader) release() {
+	e.budget.release(e.taken)
+	e.taken = 0
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{in: bufio.NewReader(r)} }
+// append adds a piece to an event. Only the memory beyond minBufferBytes counts, which few events need.
+func (e *eventReader) append(raw, piece []byte) ([]byte, error) {
+	before := max(cap(raw), minBufferBytes)
+	raw = append(raw, piece...)
+	if grown := int64(max(cap(raw), minBufferBytes) - before); grown > 0 {
+		if !e.budget.take(grown) {
+			return raw, errBufferFull
+		}
+		e.taken += grown
+	}
+	return raw, nil
+}
 
 // next returns the next complete event. It returns io.EOF if the stream ends after a complete event and
 // io.ErrUnexpectedEOF if it ends within one.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	lineStart := 0
+	e.release()
 	for {
 		// A line that is longer than the buffer arrives in pieces.
 		piece, err := e.in.ReadSlice('\n')
-		ev.raw = append(ev.raw, piece...)
+		var full error
+		ev.raw, full = e.append(ev.raw, piece)
 		switch {
+		case full != nil:
+			return event{}, full
 		case len(ev.raw) > maxEventBytes:
 			return event{}, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -75,6 +75,7 @@
 	a.cancel(nil)
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
+		a.events.release()
 	}
 }
 
@@ -338,7 +339,7 @@
 	if err != nil {
 		return j.roundTripFailure(ticket, err, a.written.Load())
 	}
-	a.resp, a.meta, a.events = resp, g.config.Headers.ParseResponse(resp.StatusCode, resp.Header), newEventReader(resp.Body)
+	a.resp, a.meta, a.events = resp, g.config.Headers.ParseResponse(resp.StatusCode, resp.Header), newEventReader(resp.Body, &g.buffered)
 	if a.meta.RequestID != "" && a.meta.RequestID != j.meta.ID {
 		j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.meta.RequestID}).Warn("gateway: dropped a response to another request")
 		return &failure{reason: reasonResponseMismatch, result: placement.Served, mayHaveRun: true, sent: true}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,9 @@
 	Clock           clockwork.Clock
 	Log             log.Interface
 	Metrics         metrics.Registry
+	// MaxBufferedBytes bounds the bytes of responses that are held until they are complete, for all requests together. Zero means
+	// the default.
+	MaxBufferedBytes int64
 	// DialInstance connects to other instances. If nil, it is that of NewDialer with MaxUnackedTime.
 	DialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 	// Dial connects to endpoints. If nil, it is that of NewDialer with MaxEndpointUnackedTime.
@@ -87,6 +90,7 @@
 	crashes                      *crashDetector
 	reach                        *reach.Tracker
 	delegates                    delegates
+	buffered                     byteBudget
 	inflight                     atomic.Int64
 	draining                     atomic.Bool
 }
@@ -96,6 +100,9 @@
 	if c.Dial == nil {
 		c.Dial = NewDialer(MaxEndpointUnackedTime).DialContext
 	}
+	if c.MaxBufferedBytes == 0 {
+		c.MaxBufferedBytes = defaultMaxBufferedBytes
+	}
 	if c.DialInstance == nil {
 		c.DialInstance = NewDialer(MaxUnackedTime).DialContext
 	}
@@ -105,6 +112,7 @@
 	g := &Gateway{config: c, transport: newTransport(c.Dial), delegateTransport: newTransport(c.DialInstance), metrics: newGatewayMetrics(c.Metrics)}
 	// The other instance may close a kept connection just as a request is sent, and then it is not known whether it ran.
 	g.delegateTransport.DisableKeepAlives = true
+	g.buffered.max = c.MaxBufferedBytes
 	g.reach = reach.New(g.logReach)
 	g.crashes = &crashDetector{gateway: g}
 	return g
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -90,6 +90,8 @@
 	delegatedBy         string
 	delegated, answered bool
 
+	// bufferedBytes is what the responses of endpoints hold of the gateway's budget.
+	bufferedBytes int64
 	// attemptBegun is set once the endpoint of the present attempt began to answer.
 	attemptBegun bool
 	// crashChecks holds a channel for each endpoint that lost the request, closed once it is known whether it has ended.
@@ -269,6 +271,7 @@
 		j.cancel()
 	}
 	g := j.gateway
+	g.buffered.release(j.bufferedBytes)
 	charged := int64(0)
 	if j.reservation != nil {
 		charged = j.chargedTokens()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -27,7 +27,8 @@
 		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "status": a.resp.StatusCode}).Info("gateway: response status is not final")
 		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
 	}
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxResponseBytes+1))
+	body, taken, err := j.gateway.buffered.readAll(a.resp.Body, maxResponseBytes)
+	j.bufferedBytes += taken
 	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
 		return j.unresponsiveFailure(a.ticket)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,8 @@
 	idleTimeout       = 60 * time.Second
 	// evidenceTakeoverSpread is the time for each instance over which writes of evidence to the store are spread.
 	evidenceTakeoverSpread = 100 * time.Millisecond
+	// bufferedMemoryShare is the inverse of the share of the memory that responses may take that are not complete.
+	bufferedMemoryShare = 6
 	// maxHeaderBytes limits the size of a caller's request header.
 	maxHeaderBytes = 64 << 10
 )
@@ -166,7 +168,7 @@
 		Headers: c.Headers, Budgets: r.prepaid, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Quarantine: r.quarantine, Origins: r.members,
 		EndpointsAge: r.endpointsAge, Versions: r.softwareVersions,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
-		Self: c.Settings.Name, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: c.Dial,
+		Self: c.Settings.Name, MaxBufferedBytes: int64(c.Settings.MemoryMb) << 20 / bufferedMemoryShare, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: c.Dial,
 		AwaitFreshState: r.freezeGuard.Wait, Dial: dialEndpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.callerServer = &http.Server{
