Let idle connections outlast a silent endpoint

A sound endpoint may be silent for a second or so. On Linux a TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count: with 2 s, an idle connection or one that waits for a response ends at the second probe, 1 s after the first, if the endpoint answers none in that second. 2.5 s let it end at the third, after 2 s.

No run against a silent peer on real sockets: dropped acknowledgements cannot be had on loopback here.

--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -18,9 +18,11 @@
 	// 400 ms.
 	MaxUnackedTime = time.Second
 	// MaxEndpointUnackedTime is the same for endpoints. It exceeds the pause of a sound endpoint, which reads nothing for
-	// a second or so.
-	MaxEndpointUnackedTime = 2 * time.Second
-	// The keep-alive settings detect a dead idle connection. Linux counts the first two in whole seconds.
+	// a second or so. On an idle connection it also decides when keep-alive probes give up: at the first probe that is due later
+	// than this after the last acknowledgement, if one before it was not answered. With 2 s that is one unanswered probe.
+	MaxEndpointUnackedTime = 2500 * time.Millisecond
+	// The keep-alive settings detect a dead idle connection. Linux counts the first two in whole seconds, and ignores
+	// keepAliveCount on connections with a maximum unacknowledged time, such as all that this program opens.
 	keepAliveIdle     = 500 * time.Millisecond
 	keepAliveInterval = 250 * time.Millisecond
 	keepAliveCount    = 2
