--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -11,6 +11,8 @@
 	// maxStatedCrashes and maxStatedVerdicts bound a State.
 	maxStatedCrashes  = 64
 	maxStatedVerdicts = 64
+	// loneRequestPeriod is how long a whole request that was lost in one crash only is passed on. Most are never lost again.
+	loneRequestPeriod = 5 * time.Second
 	// minRemaining is how long a verdict of another instance must still last. It may have just ended here.
 	minRemaining = 5 * time.Second
 )
@@ -127,7 +129,7 @@
 // state returns the newest crashes and verdicts that are selected, and when answers to their parts began.
 func (t *Tracker) state(now time.Time, crashes func(*crash) bool, verdicts func(*verdict) bool) State {
 	var out State
-	named := make(map[string]bool)
+	named, lost := make(map[string]bool), t.requestCrashes()
 	for _, c := range slices.Backward(t.crashes) {
 		if len(out.Crashes) == maxStatedCrashes {
 			break
@@ -137,6 +139,9 @@
 			if c.explainedBy != "" && c.explainedBy != part || !t.counts(c, part) {
 				continue
 			}
+			if IsRequestPart(part) && lost[part] == 1 && now.Sub(c.at) > loneRequestPeriod {
+				continue
+			}
 			stated.Parts = append(stated.Parts, part)
 			if member.first {
 				stated.FirstParts = append(stated.FirstParts, part)
@@ -164,6 +169,19 @@
 	return out
 }
 
+// requestCrashes returns the number of crashes in which each whole request was lost.
+func (t *Tracker) requestCrashes() map[string]int {
+	out := make(map[string]int)
+	for _, c := range t.crashes {
+		for part := range c.parts {
+			if IsRequestPart(part) {
+				out[part]++
+			}
+		}
+	}
+	return out
+}
+
 // Merge applies what another instance passed on.
 func (t *Tracker) Merge(s State, now time.Time) { t.merge(s, now, false) }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -493,3 +493,22 @@
 		So(f.convictedBy("bad"), ShouldEqual, 2)
 	})
 }
+
+func TestLoneRequestsAreNotPassedOnForLong(t *testing.T) {
+	Convey("of the requests that endpoints lost, only those lost again are passed on after a while", t, func() {
+		f := newFleet(2)
+		f.crashAndWait(0, []string{RequestPart("again")}, []string{RequestPart("lone")})
+		f.crashAndWait(0, []string{RequestPart("again")})
+		parts := func() (n int) {
+			for _, c := range f.trackers[1].Statements(f.now).Crashes {
+				n += len(c.Parts)
+			}
+			return n
+		}
+		So(parts(), ShouldEqual, 3)
+		f.wait(loneRequestPeriod)
+		So(parts(), ShouldEqual, 2)
+		f.crashAndWait(0, []string{RequestPart("again")})
+		So(f.convictedBy(RequestPart("again")), ShouldEqual, 2)
+	})
+}
