--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -34,9 +34,7 @@
 	// for which another one is.
 	provenMemory  = 5 * time.Second
 	exploreOnceIn = 4
-	// delegateSearchPeriod bounds the time in which a delegate is searched for. Some may be partitioned from this instance.
-	delegateSearchPeriod = 400 * time.Millisecond
-	// probeInterval is the mean time between two attempts to connect to an endpoint of a service that is disconnected.
+	// probeInterval is the mean time between two attempts to connect to an endpoint of a service that is out of reach.
 	probeInterval = 300 * time.Millisecond
 	// relayBufferBytes is the size of the buffer for a response of another instance.
 	relayBufferBytes = 16 << 10
@@ -138,17 +136,17 @@
 	delete(d.avoided, address)
 }
 
-// logReach logs that a service is disconnected or connected again.
+// logReach logs that a service got out of reach or back into it.
 func (g *Gateway) logReach(c reach.Change) {
 	logger := g.config.Log.WithFields(log.Fields{"service": c.Service, "failed": c.Failed})
 	if c.Lost {
-		logger.Warn("gateway: no connections to the endpoints of a service, requests are passed on to other instances")
+		logger.Warn("gateway: service is out of reach, requests are passed on to other instances")
 		return
 	}
-	logger.WithField("ms", c.Lasted.Milliseconds()).Info("gateway: connected to a service again")
+	logger.WithField("ms", c.Lasted.Milliseconds()).Info("gateway: service is in reach again")
 }
 
-// RunProbing connects to the endpoints of services that are disconnected, until the context ends.
+// RunProbing connects to the endpoints of services that are out of reach, until the context ends.
 func (g *Gateway) RunProbing(ctx context.Context) error {
 	for {
 		select {
@@ -178,31 +176,32 @@
 	now = g.config.Clock.Now()
 	if err != nil {
 		g.reach.Failed(e, now)
-		g.reach.Disconnected(service, listed, now)
+		g.reach.OutOfReach(service, listed, now)
 		return
 	}
 	_ = conn.Close()
 	g.reach.Connected(e, now)
 }
 
+// outOfReach reports whether the request's service is out of reach.
+func (j *job) outOfReach() bool {
+	now := j.gateway.config.Clock.Now()
+	return j.gateway.reach.OutOfReach(j.service, j.gateway.config.Endpoints().Endpoints(j.service, now), now)
+}
+
 // delegateEarly passes the request on to another instance if its service is out of reach, before anything is reserved for it
 // here. A request that another instance passed on is refused.
 func (j *job) delegateEarly() *refusal {
-	g, now := j.gateway, j.gateway.config.Clock.Now()
-	if !g.reach.OutOfReach(j.service, g.config.Endpoints().Endpoints(j.service, now), now) {
+	if !j.outOfReach() {
 		return nil
 	}
 	return j.delegate()
 }
 
-// delegateLate does the same for a request that was sent to no endpoint because connecting failed, if its service is disconnected,
-// or as the last resort.
+// delegateLate does the same for a request that was sent to no endpoint because connecting failed, as the last resort also if
+// the service does not count as out of reach.
 func (j *job) delegateLate(lastResort bool) *refusal {
-	if j.sentCount > 0 || j.mayHaveRun || j.dialFailures == 0 {
-		return nil
-	}
-	g, now := j.gateway, j.gateway.config.Clock.Now()
-	if !lastResort && !g.reach.Disconnected(j.service, g.config.Endpoints().Endpoints(j.service, now), now) {
+	if j.sentCount > 0 || j.mayHaveRun || j.dialFailures == 0 || !lastResort && !j.outOfReach() {
 		return nil
 	}
 	return j.delegate()
@@ -220,10 +219,9 @@
 		return nil
 	}
 	j.delegated = true
-	began := g.config.Clock.Now()
 	for _, d := range g.delegates.order(g.config.Delegates(), g.config.Domain, g.config.Clock.Now()) {
-		if j.ctx.Err() != nil || j.remainingTime() < minRemainingTime || g.config.Clock.Since(began) > delegateSearchPeriod {
-			break
+		if j.ctx.Err() != nil || j.remainingTime() < minRemainingTime {
+			return nil
 		}
 		passed, end := j.passOn(d)
 		if passed {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -344,7 +344,6 @@
 		j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.meta.RequestID}).Warn("gateway: dropped a response to another request")
 		return &failure{reason: reasonResponseMismatch, result: placement.Served, mayHaveRun: true, sent: true}
 	}
-	g.reach.Responded(ticket.Endpoint.Service, g.config.Clock.Now())
 	if a.meta.Load != nil {
 		ticket.RecordLoad(*a.meta.Load, g.config.Clock.Now())
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -116,9 +116,7 @@
 		if !j.keep() {
 			return j.unresponsiveFailure(a.ticket)
 		}
-		now := j.gateway.config.Clock.Now()
-		a.ticket.RecordProgress(now)
-		j.gateway.reach.Responded(a.ticket.Endpoint.Service, now)
+		a.ticket.RecordProgress(j.gateway.config.Clock.Now())
 		a.watchdog.suspend()
 		j.mayHaveRun = true
 		if j.eventCount == 0 {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -1,10 +1,10 @@
 // Package reach finds out whether this instance has lost its paths to the endpoints of a service, so that its requests are
 // better served by another instance.
 //
-// A service is disconnected once connecting to several of its endpoints failed, or to its only one, and no connection to any of
-// them was established since. It is out of reach if besides none of them responds over a connection that is still open. Whether the paths are lost or the endpoints have ended makes no difference here: if another
+// A service counts as out of reach once connecting to several of its endpoints failed, or to its only one, and no connection to
+// any of them was established since. Whether the paths are lost or the endpoints have ended makes no difference here: if another
 // instance reaches one, it can serve the requests. An endpoint that was listed after the first failure has not been tried, so
-// that it ends both states until connecting to it fails as well.
+// that it ends this state until connecting to it fails as well.
 //
 // The package is pure: callers pass the current time. A Tracker is safe for concurrent use.
 package reach
@@ -22,17 +22,15 @@
 	minFailed = 2
 	// failureMemory is how long a failure counts. A service out of reach is probed more often.
 	failureMemory = 3 * time.Second
-	// responsePeriod is how long after a response a service that is disconnected is still in reach.
-	responsePeriod = 500 * time.Millisecond
 )
 
-// Change is the time at which a service is disconnected or connected again.
+// Change is the time at which a service gets out of reach or back into it.
 type Change struct {
 	Service string
 	Lost    bool
 	// Failed is the number of endpoints to which connecting failed.
 	Failed int
-	// Lasted is how long the service was disconnected. It is zero if Lost is set.
+	// Lasted is how long the service was out of reach. It is zero if Lost is set.
 	Lasted time.Duration
 }
 
@@ -50,9 +48,8 @@
 	failures map[string]failure
 	// known holds the endpoint processes that were listed when the failures were first counted, or were listed later and failed.
 	known map[string]registry.Endpoint
-	// lostAt is when the service was disconnected, zero if it is not. respondedAt is when an endpoint last responded since the
-	// first failure.
-	lostAt, respondedAt time.Time
+	// lostAt is when the service got out of reach, zero if it is in reach.
+	lostAt time.Time
 	// probes counts the endpoints returned by Next.
 	probes int
 }
@@ -119,18 +116,6 @@
 	}
 }
 
-// Responded records that an endpoint of a service responded.
-func (t *Tracker) Responded(name string, now time.Time) {
-	if !t.failing.Load() {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.services[name]; s != nil {
-		s.respondedAt = now
-	}
-}
-
 // OutOfReach reports whether a service is out of reach, given the endpoints that are listed now.
 func (t *Tracker) OutOfReach(name string, listed []registry.Endpoint, now time.Time) bool {
 	if !t.failing.Load() {
@@ -138,21 +123,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.disconnected(name, listed, now) && now.Sub(t.services[name].respondedAt) > responsePeriod
-}
-
-// Disconnected reports whether no connection to a service can be established, given the endpoints that are listed now.
-func (t *Tracker) Disconnected(name string, listed []registry.Endpoint, now time.Time) bool {
-	if !t.failing.Load() {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.disconnected(name, listed, now)
-}
-
-// disconnected is Disconnected for a caller that holds the mutex.
-func (t *Tracker) disconnected(name string, listed []registry.Endpoint, now time.Time) bool {
 	s := t.services[name]
 	if s == nil {
 		return false
@@ -197,7 +167,7 @@
 	return false
 }
 
-// Lost returns the services that were disconnected when they were last asked for.
+// Lost returns the services that were out of reach when they were last asked for.
 func (t *Tracker) Lost() (names []string) {
 	if !t.failing.Load() {
 		return nil
@@ -212,7 +182,7 @@
 	return names
 }
 
-// Next returns the endpoint to connect to next to find out whether a service is connected again: each in turn.
+// Next returns the endpoint to connect to next to find out whether a service is back in reach: each in turn.
 func (t *Tracker) Next(name string, listed []registry.Endpoint) (registry.Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -58,16 +58,6 @@
 		tracker.Failed(restarted, now)
 		So(tracker.OutOfReach("desk", listed, now), ShouldBeTrue)
 	})
-	Convey("a service is in reach while an endpoint responds over an open connection, although it is disconnected", t, func() {
-		tracker := New(nil)
-		listed := endpoints(3)
-		tracker.Failed(listed[0], now)
-		tracker.Failed(listed[1], now)
-		tracker.Responded("desk", now)
-		So(tracker.OutOfReach("desk", listed, now.Add(responsePeriod)), ShouldBeFalse)
-		So(tracker.Disconnected("desk", listed, now.Add(responsePeriod)), ShouldBeTrue)
-		So(tracker.OutOfReach("desk", listed, now.Add(responsePeriod+time.Millisecond)), ShouldBeTrue)
-	})
 	Convey("each endpoint is probed in turn", t, func() {
 		tracker := New(nil)
 		listed := endpoints(3)
