--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -34,6 +34,8 @@
 	// for which another one is.
 	provenMemory  = 5 * time.Second
 	exploreOnceIn = 4
+	// delegateSearchPeriod bounds the time in which a delegate is searched for. Some may be partitioned from this instance.
+	delegateSearchPeriod = 400 * time.Millisecond
 	// probeInterval is the mean time between two attempts to connect to an endpoint of a service that is out of reach.
 	probeInterval = 300 * time.Millisecond
 	// relayBufferBytes is the size of the buffer for a response of another instance.
@@ -219,9 +221,10 @@
 		return nil
 	}
 	j.delegated = true
+	began := g.config.Clock.Now()
 	for _, d := range g.delegates.order(g.config.Delegates(), g.config.Domain, g.config.Clock.Now()) {
-		if j.ctx.Err() != nil || j.remainingTime() < minRemainingTime {
-			return nil
+		if j.ctx.Err() != nil || j.remainingTime() < minRemainingTime || g.config.Clock.Since(began) > delegateSearchPeriod {
+			break
 		}
 		passed, end := j.passOn(d)
 		if passed {
