Play the emulations of different seeds at the same time

The new emulations take the tests of router from 350 s to some 480 s, near the ten minutes after which go test ends a package. Each play has its own processes, network and virtual time, so that the plays of one test may share the cores. No check, seed or size changes.

--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -137,6 +137,7 @@
 	for _, size := range []struct{ instances, endpoints int }{{8, 3}, {8, 9}, {90, 12}} {
 		for seed := range emulatorSeeds(size.instances) {
 			t.Run(fmt.Sprintf("%d_instances_%d_endpoints/seed_%d", size.instances, size.endpoints, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := playBrittle(seed, size.instances, size.endpoints, 1.3)
 					served := p.served(p.from.Add(contactPeriod), p.until)
--- a/router/crash_part_test.go
+++ b/router/crash_part_test.go
@@ -262,6 +262,7 @@
 		for _, size := range crashSizes {
 			for seed := range size.seeds() {
 				t.Run(s.name+"/"+size.name(seed), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						p := playCrashes(s, size, seed)
 						for _, part := range p.ordered {
--- a/router/crash_request_test.go
+++ b/router/crash_request_test.go
@@ -326,6 +326,7 @@
 		for _, size := range crashSizes {
 			for seed := range size.seeds() {
 				t.Run(s.name+"/"+size.name(seed), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						p := newContentPlay(s, size.instances, seed)
 						p.play(size.rate)
@@ -346,6 +347,7 @@
 	for _, size := range crashSizes {
 		for seed := range size.seeds() {
 			t.Run(size.name(seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newContentPlay(contentScenario{endpoints: 3}, size.instances, seed)
 					p.work.Go(func() {
--- a/router/endpoint_crash_test.go
+++ b/router/endpoint_crash_test.go
@@ -111,6 +111,7 @@
 	for _, size := range crashSizes {
 		for seed := range size.seeds() {
 			t.Run(size.name(seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					c := play(size, seed)
 					t.Logf("%d requests, refused: %v", len(c.requests), c.refusals(allRequests))
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -177,6 +177,7 @@
 	}{{8, 9, 2, 60}, {90, 40, 4, 240}} {
 		for seed := range emulatorSeeds(size.instances) {
 			t.Run(fmt.Sprintf("%d_instances/seed_%d", size.instances, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					r := playLimits(seed, size.instances, size.endpoints, size.limited, size.rate)
 					t.Logf("used %.2f of the limits, served %.3f, regained %.2f", r.used, r.served, r.regained)
--- a/router/partition_test.go
+++ b/router/partition_test.go
@@ -193,6 +193,7 @@
 		for _, size := range crashSizes {
 			for seed := range size.seeds() {
 				t.Run(s.name+"/"+size.name(seed), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						p := playPartition(s, size, seed)
 						p.check(t)
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -262,6 +262,7 @@
 				paths:  []callPath{{"/plan/x", 5}, {"/single/x", 1}, {"/once/x", 2}, {"/fetch/x", 1}, {"/order/x", 1}},
 			}
 			t.Run(fmt.Sprintf("%d_instances/seed_%d", size.instances, seed), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { s.play(seed).check(t) })
 			})
 		}
@@ -281,6 +282,7 @@
 			s.events = append(s.events, silenceEvent{at: at, endpoints: 1, duration: maxSilence})
 		}
 		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { s.play(seed).check(t) })
 		})
 	}
