--- a/placement/placement.go
+++ b/placement/placement.go
@@ -126,16 +126,16 @@
 	states  map[string]*endpointState
 	notices map[string]*notice
 	domains map[string]*domainState
-	// brittle holds what the endpoints of services say of requests that they reject.
-	brittle map[string]brittleness
-	limits  Limits
+	// rejectionLimits holds the limits of services by name.
+	rejectionLimits map[string]rejectionLimit
+	limits          Limits
 }
 
 // New returns a Chooser without any recorded state.
 func New(l Limits) *Chooser {
 	return &Chooser{
 		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState),
-		brittle: make(map[string]brittleness), limits: l,
+		rejectionLimits: make(map[string]rejectionLimit), limits: l,
 	}
 }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -46,7 +46,7 @@
 	// silent is set while the endpoint is ejected only because it does not respond.
 	silent    bool
 	busyUntil time.Time
-	// rejectedUntil is when an endpoint of a brittle service that rejected a request may get the next one.
+	// rejectedUntil is when an endpoint with a rejection limit that rejected a request may get the next one.
 	rejectedUntil time.Time
 	load          Load
 	loadAt        time.Time
--- a/router/emulated_crash_test.go
+++ b/router/emulated_crash_test.go
@@ -211,17 +211,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// interceptedWriter calls begin in place of WriteHeader.
-type interceptedWriter struct {
-	http.ResponseWriter
-	begin func(status int)
-}
-
-func (w *interceptedWriter) WriteHeader(status int) { w.begin(status) }
-
-// Flush implements http.Flusher.
-func (w *interceptedWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
-
 // uniform returns a random number in [0, 1).
 func (e *emulator) uniform() float64 {
 	e.mu.Lock()
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -167,3 +167,14 @@
 		return true
 	}
 }
+
+// interceptedWriter calls begin in place of WriteHeader.
+type interceptedWriter struct {
+	http.ResponseWriter
+	begin func(status int)
+}
+
+func (w *interceptedWriter) WriteHeader(status int) { w.begin(status) }
+
+// Flush implements http.Flusher.
+func (w *interceptedWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
