--- a/placement/rejectionlimit.go
+++ b/placement/rejectionlimit.go
@@ -61,9 +61,9 @@
 }
 
 // shares returns how many requests of this instance each of the endpoints of a service may have in progress, by ID, or nil if the
-// service has no rejection limit. The slots of an endpoint are divided among the instances. If there are more instances than slots, those
-// that come first in the endpoint's order get one each; an instance that gets none anywhere gets one at the endpoint in whose
-// order it comes first. The waiting room is left to requests that cross each other.
+// service has no rejection limit. The slots of an endpoint are divided among the instances. If there are more instances than
+// slots, those that come first in the endpoint's order get one each; an instance that gets none anywhere gets one at the
+// endpoint in whose order it comes first. The waiting room is left to requests that cross each other.
 func (c *Chooser) shares(endpoints []registry.Endpoint, now time.Time) map[string]int {
 	if len(c.rejectionLimits) == 0 || len(endpoints) == 0 {
 		return nil
@@ -92,8 +92,8 @@
 	return shares
 }
 
-// recordRejection records that an endpoint had no room for a request. If its service has a rejection limit, the next one follows only after a
-// time in which all instances together may cause the rejected requests that the endpoint bears.
+// recordRejection records that an endpoint had no room for a request. If its service has a rejection limit, the next one follows
+// only after a time in which all instances together may cause the rejected requests that the endpoint bears.
 func (c *Chooser) recordRejection(s *endpointState, now time.Time) {
 	l, limited := c.rejectionLimit(s.endpoint.Service, now)
 	if !limited {
--- a/router/partition_test.go
+++ b/router/partition_test.go
@@ -95,7 +95,7 @@
 	p.from = p.start.Add(partitionBegins)
 	p.until = p.from.Add(partitionLasts)
 	p.work.Go(p.partition)
-	// Callers at all instances, as many as at each of a small fleet.
+	// Twice the usual rate, so that the instances that are left get enough requests to judge by.
 	p.sendPaths(size.rate*2, 1, p.start, p.until.Add(2*contactPeriod), p.soundPath)
 	p.stop()
 	return p
