Read evacuations of failure domains, and remember versions that may still be in use

Change: package evacuation; registry tells evacuated endpoints apart and how long it has been in contact with the store.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,9 @@
 	StartedUnixMilli int64
 	// SoftwareVersion is the version of the program that the endpoint runs. A stream of one version cannot go on at another.
 	SoftwareVersion string
+	// ColdLeft is the time for which the endpoint stays cold from the write of its entry on, as far as the entry says; zero if it
+	// says nothing.
+	ColdLeft time.Duration
 	// Version is the object store's version of the entry.
 	Version objectstore.Version
 }
@@ -51,6 +55,8 @@
 	services map[string][]Endpoint
 	// retained holds endpoints whose entries are missing but that may get requests for a limited time.
 	retained map[string][]retainedEndpoint
+	// evacuated holds the listed endpoints of each service that are left out because their failure domain is evacuated.
+	evacuated map[string][]Endpoint
 }
 
 // Endpoints returns the endpoints of a service that may get requests at the given time. The caller must not modify the
@@ -72,18 +78,38 @@
 	return out
 }
 
-// Lists reports whether an endpoint with the ID and the address may get new requests.
+// Lists reports whether an endpoint with the ID and the address is listed and not draining. Those of evacuated domains are included:
+// they still serve the streams in progress.
 func (v *View) Lists(id, address string) bool {
-	for _, list := range v.services {
-		for _, e := range list {
-			if e.ID == id && e.Address == address {
-				return true
+	for _, services := range []map[string][]Endpoint{v.services, v.evacuated} {
+		for _, list := range services {
+			for _, e := range list {
+				if e.ID == id && e.Address == address {
+					return true
+				}
 			}
 		}
 	}
 	return false
 }
 
+// AtAddress returns the listed endpoints with an address that are not draining, those of evacuated domains included.
+func (v *View) AtAddress(address string) (out []Endpoint) {
+	if v == nil {
+		return nil
+	}
+	for _, services := range []map[string][]Endpoint{v.services, v.evacuated} {
+		for _, list := range services {
+			for _, e := range list {
+				if e.Address == address {
+					out = append(out, e)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // EndpointCounts returns the number of endpoints of each service.
 func (v *View) EndpointCounts() map[string]int {
 	out := make(map[string]int)
@@ -210,6 +236,9 @@
 // RetainedCount returns how many endpoints are retained without an entry.
 func (s *Set) RetainedCount() int { return len(s.retained) }
 
+// Listed returns all endpoints with an entry, draining ones included.
+func (s *Set) Listed() []Endpoint { return slices.Collect(maps.Values(s.entries)) }
+
 // Contains reports whether an endpoint is listed or retained.
 func (s *Set) Contains(id string) bool {
 	_, listed := s.entries[id]
