Choose endpoints by speed, from load reports that instances share

Cause: each of 86 instances sends one request in 20 s to an endpoint, so its own view is old when it chooses; cold endpoints bear a bounded rate from all instances together; an instance does not see its own link fill up. Change: packages endpointload, linkload and coldstart, rates of cold endpoints in endpointlimit, placement by speed and its explanation.

--- a/endpointlimit/endpointlimit.go
+++ b/endpointlimit/endpointlimit.go
@@ -77,6 +77,17 @@
 	Instances func() []string
 	// OnChange is called for each change.
 	OnChange func(Change)
+	// ColdBound bounds the requests to cold endpoints, and ColdRate returns the number of requests per second that a cold endpoint of a
+	// service handles, or zero if its endpoints are never cold. If ColdRate is nil, none is.
+	ColdBound ColdBound
+	ColdRate  func(service string) float64
+	// ColdTime returns how long an endpoint of a service is cold after its start. An assumed cold time ends after it, even if it was not
+	// known yet when the endpoint appeared. It may be nil.
+	ColdTime func(service string) time.Duration
+	// SettledInstances is Instances for cold endpoints: it returns nil until the list is complete. If nil, Instances is used.
+	SettledInstances func() []string
+	// OnColdChange is called when an endpoint begins to be cold, or says that it is no longer. It may be nil.
+	OnColdChange func(ColdChange)
 }
 
 // Limits holds the limits that endpoints have named.
@@ -84,6 +95,8 @@
 	config Config
 	mu     sync.Mutex
 	states map[string]*state
+	// cold holds what is known about endpoints that are cold or were lately.
+	cold map[string]*coldState
 }
 
 // state is what is known about one process of an endpoint.
@@ -106,7 +119,9 @@
 }
 
 // New returns Limits that know no limit.
-func New(c Config) *Limits { return &Limits{config: c, states: make(map[string]*state)} }
+func New(c Config) *Limits {
+	return &Limits{config: c, states: make(map[string]*state), cold: make(map[string]*coldState)}
+}
 
 // Named records that a response of an endpoint names a limit.
 func (l *Limits) Named(e registry.Endpoint, rate float64, now time.Time) {
@@ -199,6 +214,12 @@
 func (l *Limits) Allows(e registry.Endpoint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c := l.coldOf(e, now); c != nil {
+		l.refillCold(c, now)
+		if c.permitted < 1 {
+			return false
+		}
+	}
 	s := l.stateOf(e)
 	if s == nil || !s.limited {
 		return true
@@ -207,19 +228,53 @@
 	return s.permitted >= 1
 }
 
-// Unused reports whether this instance may send a request to a limited endpoint, and no request has preferred it for a
+// Unused reports whether this instance may send a request to an endpoint that is limited or cold, and no request has preferred it for a
 // while.
 func (l *Limits) Unused(e registry.Endpoint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.stateOf(e)
-	return s != nil && s.limited && s.permitted >= 1 && now.Sub(s.permittedSince) >= unusedPeriod
+	s, c := l.stateOf(e), l.coldOf(e, now)
+	limited := s != nil && s.limited
+	switch {
+	case limited && (s.permitted < 1 || now.Sub(s.permittedSince) < unusedPeriod):
+		return false
+	case c == nil:
+		return limited
+	}
+	l.refillCold(c, now)
+	return c.permitted >= 1 && now.Sub(c.permittedSince) >= coldUnusedPeriod
+}
+
+// Peek returns what Allows and Unused would return, without a change of state, and the limit in requests per second, negative if
+// there is none.
+func (l *Limits) Peek(e registry.Endpoint, now time.Time) (allows, unused bool, rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	copied := New(l.config)
+	rate = -1
+	if s := l.stateOf(e); s != nil {
+		c := *s
+		copied.states[e.ID] = &c
+		if s.limited {
+			rate = s.rate
+		}
+	}
+	if s := l.coldOf(e, now); s != nil {
+		c := *s
+		copied.cold[e.ID] = &c
+	}
+	return copied.Allows(e, now), copied.Unused(e, now), rate
 }
 
 // Take records that a request is sent to an endpoint.
 func (l *Limits) Take(e registry.Endpoint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c := l.coldOf(e, now); c != nil {
+		l.refillCold(c, now)
+		c.permitted--
+		c.permittedSince = now
+	}
 	if s := l.stateOf(e); s != nil && s.limited {
 		l.refill(s, now)
 		s.permitted--
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -24,6 +24,15 @@
 // partitioned reports whether the domain counts as partitioned. A nil receiver does not.
 func (d *domainState) partitioned(now time.Time) bool { return d != nil && now.Before(d.skipUntil) }
 
+// OutOfReach reports whether this instance could not connect to the endpoint, or to partitionThreshold endpoints of its failure domain,
+// and has had no response from the domain since. Its capacity is then of no use to this instance.
+func (c *Chooser) OutOfReach(e registry.Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.domains[e.Domain]
+	return d != nil && (d.unreachableEndpoints[e.ID] || len(d.unreachableEndpoints) >= partitionThreshold)
+}
+
 // updateDomain applies the result of a request to the state of its endpoint's failure domain.
 func (c *Chooser) updateDomain(e registry.Endpoint, r Result, now time.Time) {
 	d := c.domains[e.Domain]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -10,9 +10,11 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"pumiceshelf/endpointload"
 	"pumiceshelf/registry"
 )
 
@@ -29,6 +31,8 @@
 	// MaxTimeToFirstToken is the longest expected time to the first token for which the request is still sent; zero
 	// means no limit.
 	MaxTimeToFirstToken time.Duration
+	// MaxEventGap is the objective for the pauses between the events of the request's stream; zero if there is none.
+	MaxEventGap time.Duration
 	// Domain is the failure domain of this instance. Among endpoints of equal load, those in it are preferred.
 	Domain string
 	// RespondedWithin is set for a request that may as well stay where it is. It excludes ejected endpoints, and those that
@@ -58,6 +62,9 @@
 // Load is an endpoint's own report of its running and waiting requests and its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// WorkTime is how long work takes on the endpoint at this moment, relative to the usual. It is zero if the endpoint does not
+	// report it.
+	WorkTime float64
 }
 
 // Result is the result of a request at an endpoint.
@@ -115,6 +122,9 @@
 	Allows(e registry.Endpoint, now time.Time) bool
 	// Unused reports whether it may send one to a limited endpoint, and no request has preferred that endpoint for a while.
 	Unused(e registry.Endpoint, now time.Time) bool
+	// Peek returns what Allows and Unused would return, without a change of state, and the endpoint's limit in requests per second,
+	// negative if there is none.
+	Peek(e registry.Endpoint, now time.Time) (allows, unused bool, rate float64)
 	// Take records that a request is sent.
 	Take(e registry.Endpoint, now time.Time)
 	Instances
@@ -129,13 +139,22 @@
 	// rejectionLimits holds the limits of services by name.
 	rejectionLimits map[string]rejectionLimit
 	limits          Limits
+	// loads are the shared load reports of endpoints that report work times, or nil.
+	loads Loads
+	// intN returns a random number in [0, n). Tests replace it to repeat a run.
+	intN   func(n int) int
+	losses lossSignal
 }
 
 // New returns a Chooser without any recorded state.
-func New(l Limits) *Chooser {
+func New(l Limits) *Chooser { return NewWithLoads(l, nil) }
+
+// NewWithLoads returns a Chooser that also uses the load reports that other instances pass on.
+func NewWithLoads(l Limits, loads Loads) *Chooser {
 	return &Chooser{
+		loads: loads, intN: rand.IntN,
 		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState),
-		rejectionLimits: make(map[string]rejectionLimit), limits: l,
+		rejectionLimits: make(map[string]rejectionLimit), limits: l, losses: newLossSignal(),
 	}
 }
 
@@ -167,9 +186,15 @@
 	}
 	var s *endpointState
 	wait, inTime := time.Duration(0), true
+	var withLoads []engine
+	if len(r.PromptParts) > 0 {
+		withLoads = c.withLoads(usable, now)
+	}
 	switch unused := c.unusedLimited(usable, now); {
 	case unused != nil:
 		s, wait = unused, unused.backlog(r.Priority, now)
+	case withLoads != nil:
+		s, wait, inTime = c.chooseBySpeed(withLoads, r, now)
 	case len(r.PromptParts) > 0:
 		s, wait, inTime = chooseByAffinity(usable, r, now)
 	default:
@@ -256,22 +281,14 @@
 	return s
 }
 
-// LostConnection reports whether this instance lost a connection to the endpoint, or could not connect to it, after the given
-// time.
-func (c *Chooser) LostConnection(e registry.Endpoint, after time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.states[e.ID]
-	return s != nil && s.endpoint.SameProcess(e) && s.lostConnectionAt.After(after)
-}
-
-// Retain deletes the state of endpoints for which known returns false, and their notices after a while.
+// Retain deletes the state of endpoints for which known returns false, unless they were found to have ended lately, and their notices
+// after a while.
 func (c *Chooser) Retain(known func(id string) bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retainNotices(known, now)
-	for id := range c.states {
-		if !known(id) {
+	for id, s := range c.states {
+		if !known(id) && now.Sub(s.endedAt) > lossRetention {
 			delete(c.states, id)
 		}
 	}
@@ -307,6 +324,9 @@
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
 	t.state.load, t.state.loadAt = l, now
+	if t.chooser.loads != nil && t.chooser.loads.Wants(endpointload.Report(l)) {
+		t.chooser.loads.Record(t.Endpoint, endpointload.Report(l), now)
+	}
 }
 
 // Done ends the request with a result; further calls do nothing. It returns the time until which the endpoint is
--- a/placement/state.go
+++ b/placement/state.go
@@ -52,6 +52,10 @@
 	loadAt        time.Time
 	// lostConnectionAt is when a connection to the endpoint last failed.
 	lostConnectionAt time.Time
+	// endedAt is when the endpoint was found to have ended. Losses up to refutedAt were found to be no sign of that.
+	endedAt, refutedAt time.Time
+	// lossSequence is the sequence number of the last loss that was signaled.
+	lossSequence uint64
 	// respondedAt is when the endpoint last responded to a request or sent a stream event.
 	respondedAt time.Time
 }
