--- a/admit/controller_test.go
+++ b/admit/controller_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
+
+	"pumiceshelf/servicetime"
 )
 
 func testItem(customer string, class Class, deadline time.Time) Item {
@@ -77,7 +79,7 @@
 			first.Done(Result{TotalTime: 10 * time.Second})
 			short := testItem("x", Standard, clock.Now().Add(5*time.Second))
 			So(outcomeOf(admitAll(c, short)[0]), ShouldEqual, TooLate)
-			clock.Advance(sampleLifetime + 1)
+			clock.Advance(servicetime.SampleLifetime + 1)
 			short.Deadline = clock.Now().Add(5 * time.Second)
 			So(outcomeOf(admitAll(c, short)[0]), ShouldEqual, Admitted)
 		})
@@ -86,7 +88,7 @@
 			for _, r := range []Result{{Interrupted: true, TotalTime: time.Second}, {Failed: true, TotalTime: time.Hour}, {Interrupted: true, TotalTime: 10 * time.Second}} {
 				(<-admitAll(c, testItem("x", Standard, far))[0]).Done(r)
 			}
-			So(c.queues.group("g").serviceTimes.expectedTime(1), ShouldEqual, 3*time.Second)
+			So(c.queues.group("g").serviceTimes.ExpectedTime(1), ShouldEqual, 3*time.Second)
 		})
 		Convey("waiting requests are refused when no endpoint is available", func() {
 			tickets := admitAll(c, testItem("x", Standard, far))
--- a/admit/group.go
+++ b/admit/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pumiceshelf/invariant"
+	"pumiceshelf/servicetime"
 )
 
 const (
@@ -24,7 +25,7 @@
 	// demand is the average number of requests in flight as of demandUpdatedAt.
 	demand          [NumClasses]float64
 	demandUpdatedAt time.Time
-	serviceTimes    serviceTimeEstimator
+	serviceTimes    servicetime.Estimator
 	bytes           int
 	// estimatesStale is set when service times were recorded after the waiting requests were last estimated.
 	estimatesStale bool
@@ -55,8 +56,8 @@
 
 // setEstimates sets the fields of a request that depend on the service time estimates.
 func (g *groupQueue) setEstimates(w *waiter) {
-	w.expectedWork = g.serviceTimes.expectedTime(w.item.Cost)
-	w.latestStart = w.item.Deadline.Add(-g.serviceTimes.upperEstimate(w.item.Cost))
+	w.expectedWork = g.serviceTimes.ExpectedTime(w.item.Cost)
+	w.latestStart = w.item.Deadline.Add(-g.serviceTimes.UpperEstimate(w.item.Cost))
 }
 
 // refreshEstimates updates the estimates of the waiting requests if they are stale.
--- a/admit/queues.go
+++ b/admit/queues.go
@@ -44,7 +44,7 @@
 	g := q.group(w.item.Group)
 	q.prepare(g, now, w)
 	if now.Add(g.expectedWait(w.item, capacity)).After(w.latestStart) {
-		g.serviceTimes.decayIfStale(now, w.item.Cost)
+		g.serviceTimes.DecayIfStale(now, w.item.Cost)
 		return TooLate, nil
 	}
 	displaced, refused := q.displaceFor(g, w)
@@ -136,7 +136,7 @@
 	if !now.Before(item.Deadline) {
 		return true
 	}
-	return now.Add(q.group(item.Group).serviceTimes.recentMean(now, item.Cost)).After(item.Deadline)
+	return now.Add(q.group(item.Group).serviceTimes.RecentMean(now, item.Cost)).After(item.Deadline)
 }
 
 // finish counts the end of a dispatched request and updates the estimates. It returns the waiting requests that must be
@@ -145,11 +145,11 @@
 	g := q.groups[item.Group]
 	g.recordFinish(now, item.Class)
 	// An interrupted request would have taken longer, so its time is a lower bound. It counts only if it exceeds the mean.
-	if (!r.Succeeded() || r.TotalTime == 0) && (!r.Interrupted || r.TotalTime <= g.serviceTimes.expectedTime(item.Cost)) {
+	if (!r.Succeeded() || r.TotalTime == 0) && (!r.Interrupted || r.TotalTime <= g.serviceTimes.ExpectedTime(item.Cost)) {
 		return nil
 	}
 	g.estimatesStale = true
-	if g.serviceTimes.observe(now, item.Cost, r.TotalTime) {
+	if g.serviceTimes.Observe(now, item.Cost, r.TotalTime) {
 		return q.requeue(now, g, capacity)
 	}
 	return nil
@@ -217,7 +217,7 @@
 // expectedTotalTime returns the expected queueing and service time of a new request.
 func (q *queues) expectedTotalTime(item Item, capacity int) time.Duration {
 	g := q.group(item.Group)
-	return g.expectedWait(item, capacity) + g.serviceTimes.expectedTime(item.Cost)
+	return g.expectedWait(item, capacity) + g.serviceTimes.ExpectedTime(item.Cost)
 }
 
 func (q *queues) checkLimits(g *groupQueue, class Class) {
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -3,9 +3,11 @@
 import (
 	"container/list"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pumiceshelf/invariant"
+	"pumiceshelf/ration"
 )
 
 // Outcome is the result of a reservation.
@@ -21,11 +23,13 @@
 	// Contended means that the budget may cover the request, and the ledger can be reached, but no lease covered the request in
 	// time, because too many requests or instances need larger ones.
 	Contended
+	// Rationed means that the customer's tokens do not last for all of its requests and are kept for more urgent ones.
+	Rationed
 )
 
 // String returns the name of the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"granted", "exhausted", "unavailable", "contended"}[o]
+	return [...]string{"granted", "exhausted", "unavailable", "contended", "rationed"}[o]
 }
 
 // account holds this instance's lease of one customer's budget.
@@ -60,6 +64,12 @@
 	passedOn         int64
 	ownRatePerSecond float64
 	ownRateBaseline  int64
+	// ownRequests counts this instance's requests since the last update of ownRequestsPerSecond, their moving average per second.
+	ownRequests          atomic.Int64
+	ownRequestsPerSecond float64
+	// demandByRank is what requests asked for by rank, share the fraction of the customer's traffic for which this instance leases.
+	demandByRank ration.Demand
+	share        float64
 }
 
 // waiter is a reservation that waits for a larger lease.
@@ -98,7 +108,7 @@
 
 // reserveLocked is reserve without regard to waiters. a.mu must be held.
 func (a *account) reserveLocked(tokens int64) bool {
-	if a.used+tokens > a.limit {
+	if tokens < 0 || tokens > a.limit-a.used {
 		return false
 	}
 	a.used += tokens
@@ -221,15 +231,15 @@
 	return a.limit - a.borrowed
 }
 
-// lend passes on at most half of the tokens that this instance does not need within lendReserve, and counts them as
-// spent.
-func (a *account) lend(tokens int64) int64 {
+// lend passes on at most half of the tokens that this instance does not need within lendReserve or keeps for urgent requests, and
+// counts them as spent.
+func (a *account) lend(tokens, kept int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.waiters.Len() > 0 {
 		return 0
 	}
-	lendable := a.limit - a.used - int64(a.ratePerSecond*lendReserve.Seconds())
+	lendable := a.limit - a.used - max(int64(a.ratePerSecond*lendReserve.Seconds()), kept)
 	lent := min(tokens, max(lendable, 0)/2)
 	a.used += lent
 	a.passedOn += lent
@@ -238,12 +248,17 @@
 }
 
 // allocationAhead returns how many tokens to request beyond those that a request needs: what is used within allocateAhead,
-// unless that is only a few requests of this size, of which the average rate says little.
-func (a *account) allocationAhead(needed int64) int64 {
+// unless that is only a few requests, of which the average rate says little. If countRequests is false, it takes all requests to
+// be of this size, so that a small request after a large one gets the tokens of several ahead.
+func (a *account) allocationAhead(needed int64, countRequests bool) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ahead := int64(a.ownRatePerSecond * allocateAhead.Seconds())
-	if ahead < sporadicRequests*needed {
+	sporadic := ahead < sporadicRequests*needed
+	if countRequests {
+		sporadic = a.ownRequestsPerSecond*allocateAhead.Seconds() < sporadicRequests
+	}
+	if sporadic {
 		return 0
 	}
 	return ahead
@@ -313,13 +328,14 @@
 	if elapsed <= 0 {
 		return
 	}
-	average := func(previous, weight float64, tokens int64) float64 {
-		return previous + weight*(max(float64(tokens), 0)/elapsed.Seconds()-previous)
+	average := func(previous, weight float64, count int64) float64 {
+		return previous + weight*(max(float64(count), 0)/elapsed.Seconds()-previous)
 	}
 	own := a.used - a.passedOn
 	a.ratePerSecond = average(a.ratePerSecond, rateWeight, a.used-a.rateBaseline)
 	a.longRatePerSecond = average(a.longRatePerSecond, longRateWeight, a.used-a.rateBaseline)
 	a.ownRatePerSecond = average(a.ownRatePerSecond, longRateWeight, own-a.ownRateBaseline)
+	a.ownRequestsPerSecond = average(a.ownRequestsPerSecond, longRateWeight, a.ownRequests.Swap(0))
 	a.rateBaseline, a.ownRateBaseline = a.used, own
 }
 
--- a/prepaid/contention_test.go
+++ b/prepaid/contention_test.go
@@ -132,7 +132,7 @@
 		m := l.managers[min(l.random.IntN(loadHolders+2), loadHolders-1)]
 		tokens := int64(loadMeanTokens * (0.4 + 1.2*l.random.Float64()))
 		l.work.Go(func() {
-			a := m.Allocate(context.Background(), TransferID{}, customerName(customer), tokens, tokens)
+			a := m.Allocate(context.Background(), TransferID{}, customerName(customer), 0, tokens, tokens)
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.asked[name]++
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/ration"
 )
 
 const (
@@ -17,6 +19,8 @@
 	testTick             = 50 * time.Millisecond
 	testUnresponsiveTime = time.Second
 	testHolderCandidates = 3
+	// longRank and shortRank are the ranks of the requests for long and for short prompts.
+	longRank, shortRank = 5, 3
 	// testMaxParked is the greatest fraction of a prepaid total that may be neither spent nor available.
 	testMaxParked = 0.03
 )
@@ -29,7 +33,9 @@
 	store    *ledgerStore
 	prepaid  int64
 	lossRate float64
-	domains  [][]*Manager
+	// requestScale multiplies the sizes of requests.
+	requestScale float64
+	domains      [][]*Manager
 	// unresponsive holds, for each instance, the positions in its domain that it skips until a time.
 	unresponsive map[*Manager]map[int]time.Time
 	sequence     uint64
@@ -37,12 +43,16 @@
 	spent                   int64
 	granted, refused, ticks int
 	returned                int64
+	// refusedTokens are those of refused requests.
+	refusedTokens int64
+	// asked and served count requests by rank.
+	asked, served [ration.Ranks]int
 }
 
 func newTestFleet(seed uint64, prepaid int64, lossRate float64) *testFleet {
 	f := &testFleet{
 		clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, seed)), store: &ledgerStore{}, prepaid: prepaid,
-		lossRate: lossRate, domains: make([][]*Manager, testDomains), unresponsive: make(map[*Manager]map[int]time.Time),
+		lossRate: lossRate, requestScale: 1, domains: make([][]*Manager, testDomains), unresponsive: make(map[*Manager]map[int]time.Time),
 	}
 	f.restartAll()
 	return f
@@ -71,8 +81,8 @@
 		return true
 	}
 	m.config.IsFirstHolder = func() bool { return position == 0 }
-	m.config.RequestAllocation = func(_ context.Context, customer string, needed, wanted int64) Allocation {
-		return f.requestAllocation(domain, position, customer, needed, wanted)
+	m.config.RequestAllocation = func(_ context.Context, customer string, rank int, needed, wanted int64) Allocation {
+		return f.requestAllocation(domain, position, customer, rank, needed, wanted)
 	}
 	m.config.Return = func(tokens map[string]int64) bool { return f.passBack(domain, position, tokens) }
 	return m
@@ -105,7 +115,7 @@
 }
 
 // requestAllocation asks up to two instances that precede the requesting one, as package members does.
-func (f *testFleet) requestAllocation(domain, position int, customer string, needed, wanted int64) Allocation {
+func (f *testFleet) requestAllocation(domain, position int, customer string, rank int, needed, wanted int64) Allocation {
 	m, asked := f.domains[domain][position], 0
 	for before := range min(position, testHolderCandidates) {
 		if asked == 2 {
@@ -117,7 +127,7 @@
 		asked++
 		f.sequence++
 		id, lender := TransferID{Borrower: m.config.Incarnation, Sequence: f.sequence}, f.domains[domain][before]
-		allocation := f.allocate(lender, id, customer, needed, wanted)
+		allocation := f.allocate(lender, id, customer, rank, needed, wanted)
 		if f.random.Float64() < f.lossRate {
 			lender.Abandon(id.Borrower, []uint64{id.Sequence})
 			f.unresponsive[m][before] = f.clock.Now().Add(testUnresponsiveTime)
@@ -131,9 +141,9 @@
 }
 
 // allocate requests an allocation and lets the instance update the ledger if its lease does not cover it.
-func (f *testFleet) allocate(m *Manager, id TransferID, customer string, needed, wanted int64) Allocation {
-	allocation := m.Allocate(canceledContext(), id, customer, needed, wanted)
-	if allocation.Tokens > 0 || allocation.Exhausted {
+func (f *testFleet) allocate(m *Manager, id TransferID, customer string, rank int, needed, wanted int64) Allocation {
+	allocation := m.Allocate(canceledContext(), id, customer, rank, needed, wanted)
+	if allocation.Tokens > 0 || allocation.Exhausted || allocation.Rationed {
 		return allocation
 	}
 	switch f.waitForLease(m, needed) {
@@ -157,9 +167,10 @@
 	return <-w.done
 }
 
-// request sends one request to an instance.
-func (f *testFleet) request(m *Manager, tokens int64) {
-	r, outcome := m.Reserve(canceledContext(), "alwusta", tokens)
+// request sends one request of a rank to an instance.
+func (f *testFleet) request(m *Manager, rank int, tokens int64) {
+	f.asked[rank]++
+	r, outcome := m.Reserve(canceledContext(), "alwusta", rank, tokens)
 	if outcome == Unavailable && m.actsAsTokenHolder() {
 		if outcome = f.waitForLease(m, tokens); outcome == Granted {
 			r = &Reservation{account: m.account("alwusta"), tokens: tokens}
@@ -167,10 +178,12 @@
 	}
 	if outcome != Granted {
 		f.refused++
+		f.refusedTokens += tokens
 		return
 	}
 	r.Settle(tokens)
 	f.granted++
+	f.served[rank]++
 	f.spent += tokens
 }
 
@@ -180,8 +193,9 @@
 	for end := f.clock.Now().Add(span); f.clock.Now().Before(end) && f.spent < until; f.clock.Advance(testTick) {
 		for due += tokensPerSecond * testTick.Seconds(); due > 0; {
 			domain := f.domains[f.random.IntN(testDomains)]
-			tokens := int64([]float64{9_226, 1_022}[f.random.IntN(2)] * (0.5 + f.random.Float64()))
-			f.request(domain[f.random.IntN(testDomainSize)], tokens)
+			kind := f.random.IntN(2)
+			tokens := int64([]float64{9_226, 1_022}[kind] * (0.5 + f.random.Float64()) * f.requestScale)
+			f.request(domain[f.random.IntN(testDomainSize)], []int{longRank, shortRank}[kind], tokens)
 			due -= float64(tokens)
 		}
 		if f.ticks++; f.ticks%int(tickInterval/testTick) == 0 {
--- a/prepaid/holder_test.go
+++ b/prepaid/holder_test.go
@@ -45,8 +45,8 @@
 		for i, name := range []string{"muscat-2", "muscat-3"} {
 			m := newTestManager(stores[i], name, clock, &prepaid, 1)
 			m.config.IsTokenHolder = func() bool { return false }
-			m.config.RequestAllocation = func(ctx context.Context, customer string, needed, wanted int64) Allocation {
-				return holder.Allocate(ctx, TransferID{}, customer, needed, wanted)
+			m.config.RequestAllocation = func(ctx context.Context, customer string, rank int, needed, wanted int64) Allocation {
+				return holder.Allocate(ctx, TransferID{}, customer, rank, needed, wanted)
 			}
 			others = append(others, m)
 		}
@@ -59,7 +59,7 @@
 
 		Convey("the others get allocations from it and make no store calls", func() {
 			for range 20 {
-				r, outcome := others[0].Reserve(ctx, "alwusta", 300)
+				r, outcome := others[0].Reserve(ctx, "alwusta", 0, 300)
 				So(outcome, ShouldEqual, Granted)
 				r.Settle(300)
 				clock.Advance(tickInterval)
@@ -72,7 +72,7 @@
 			So(holder.account("alwusta").demand().ratePerSecond, ShouldBeGreaterThan, 300)
 
 			Convey("and allocated tokens that they did not spend return to the ledger when they stop", func() {
-				others[1].account("alwusta").addBorrowed(holder.account("alwusta").lend(1_000))
+				others[1].account("alwusta").addBorrowed(holder.account("alwusta").lend(1_000, 0))
 				for _, m := range append(others, holder) {
 					So(m.Close(ctx), ShouldBeNil)
 				}
@@ -100,15 +100,15 @@
 			So(l.message.Accounts["alwusta"].Closed, ShouldEqual, 700)
 		})
 		Convey("a request that the budget does not cover is refused as exhausted without a store call", func() {
-			others[0].config.RequestAllocation = func(context.Context, string, int64, int64) Allocation { return Allocation{Exhausted: true} }
-			_, outcome := others[0].Reserve(ctx, "alwusta", 2_000_000)
+			others[0].config.RequestAllocation = func(context.Context, string, int, int64, int64) Allocation { return Allocation{Exhausted: true} }
+			_, outcome := others[0].Reserve(ctx, "alwusta", 0, 2_000_000)
 			So(outcome, ShouldEqual, Exhausted)
 			So(stores[0].calls, ShouldEqual, callsBefore)
 		})
 
 		Convey("while the token holder is slow but available, the others do not write to the ledger", func() {
-			others[0].config.RequestAllocation = func(context.Context, string, int64, int64) Allocation { return Allocation{} }
-			_, outcome := others[0].Reserve(ctx, "alwusta", 700)
+			others[0].config.RequestAllocation = func(context.Context, string, int, int64, int64) Allocation { return Allocation{} }
+			_, outcome := others[0].Reserve(ctx, "alwusta", 0, 700)
 			So(outcome, ShouldEqual, Contended)
 			So(stores[0].calls, ShouldEqual, callsBefore)
 		})
@@ -116,12 +116,12 @@
 		Convey("a token holder that is disconnected from the store allocates its lease, and then reports the store unavailable at once", func() {
 			holder.storeFailedAt.Store(clock.Now().UnixNano())
 			available := holder.account("alwusta").demand().limit
-			So(holder.Allocate(ctx, TransferID{}, "alwusta", available, available+1), ShouldResemble, Allocation{Tokens: available})
-			So(holder.Allocate(ctx, TransferID{}, "alwusta", 10, 10), ShouldResemble, Allocation{StoreUnavailable: true})
+			So(holder.Allocate(ctx, TransferID{}, "alwusta", 0, available, available+1), ShouldResemble, Allocation{Tokens: available})
+			So(holder.Allocate(ctx, TransferID{}, "alwusta", 0, 10, 10), ShouldResemble, Allocation{StoreUnavailable: true})
 		})
 
 		Convey("when the token holder is unresponsive, an instance leases only the tokens that its requests wait for", func() {
-			others[0].config.RequestAllocation = func(context.Context, string, int64, int64) Allocation { return Allocation{StoreUnavailable: true} }
+			others[0].config.RequestAllocation = func(context.Context, string, int, int64, int64) Allocation { return Allocation{StoreUnavailable: true} }
 			w, _ := others[0].account("alwusta").addWaiter(700)
 			others[0].resizeLeases(ctx)
 			So(<-w.done, ShouldEqual, Granted)
@@ -132,22 +132,22 @@
 			others[1].config.IsTokenHolder = func() bool { return true }
 			others[1].resizeLeases(ctx)
 			others[1].updateRates()
-			So(others[1].Allocate(ctx, TransferID{}, "alwusta", 10_000, 10_000).Tokens, ShouldEqual, 10_000)
+			So(others[1].Allocate(ctx, TransferID{}, "alwusta", 0, 10_000, 10_000).Tokens, ShouldEqual, 10_000)
 			clock.Advance(tickInterval)
 			others[1].updateRates()
 			others[1].config.IsTokenHolder = func() bool { return false }
 			clock.Advance(allocationWindow + time.Second)
 			requested := int64(0)
-			others[1].config.RequestAllocation = func(_ context.Context, _ string, _, wanted int64) Allocation {
+			others[1].config.RequestAllocation = func(_ context.Context, _ string, _ int, _, wanted int64) Allocation {
 				requested = wanted
 				return Allocation{Exhausted: true}
 			}
-			_, outcome := others[1].Reserve(ctx, "alwusta", 100_000)
+			_, outcome := others[1].Reserve(ctx, "alwusta", 0, 100_000)
 			So(outcome, ShouldEqual, Exhausted)
 			So(requested, ShouldEqual, 100_000)
 		})
 		Convey("an instance that allocates to others leases tokens in advance until allocationWindow after their last request", func() {
-			So(others[0].Allocate(canceledContext(), TransferID{}, "alwusta", 700, 900).Exhausted, ShouldBeFalse)
+			So(others[0].Allocate(canceledContext(), TransferID{}, "alwusta", 0, 700, 900).Exhausted, ShouldBeFalse)
 			clock.Advance(minUpdateInterval)
 			others[0].resizeLeases(ctx)
 			So(others[0].account("alwusta").demand().limit, ShouldBeGreaterThan, 2_000)
@@ -177,7 +177,7 @@
 		So(len(w.done), ShouldEqual, 0)
 		So(m.storeUnavailable(m.config.Clock.Now()), ShouldBeFalse)
 		So(m.account("alwusta").removeWaiter(e), ShouldBeTrue)
-		So(m.Allocate(canceledContext(), TransferID{}, "alwusta", 700, 700), ShouldResemble, Allocation{})
+		So(m.Allocate(canceledContext(), TransferID{}, "alwusta", 0, 700, 700), ShouldResemble, Allocation{})
 	})
 }
 
@@ -211,7 +211,7 @@
 		updated := make(chan struct{})
 		wait := func() {
 			go func() {
-				_, outcome := m.Reserve(t.Context(), "alwusta", 700_000)
+				_, outcome := m.Reserve(t.Context(), "alwusta", 0, 700_000)
 				reserved <- outcome
 			}()
 			So(clock.BlockUntilContext(t.Context(), 2), ShouldBeNil)
@@ -259,7 +259,7 @@
 		}
 		holder.resizeLeases(t.Context())
 		other.resizeLeases(t.Context())
-		other.account("alwusta").addBorrowed(holder.Allocate(t.Context(), TransferID{}, "alwusta", 5_000, 5_000).Tokens)
+		other.account("alwusta").addBorrowed(holder.Allocate(t.Context(), TransferID{}, "alwusta", 0, 5_000, 5_000).Tokens)
 		for range 60 {
 			clock.Advance(tickInterval)
 			for _, m := range []*Manager{holder, other} {
--- a/prepaid/ledger.go
+++ b/prepaid/ledger.go
@@ -89,6 +89,7 @@
 func (l ledger) closeLease(customer string, holder instance.Incarnation, spent int64) {
 	a := l.ensureAccount(customer)
 	delete(a.Leases, string(holder))
+	delete(l.message.Unspent, string(holder))
 	a.Closed += spent
 }
 
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -14,17 +14,27 @@
 	// lendDivisor bounds a loan from the ledger to 1/lendDivisor of the remaining tokens, so that two instances that request
 	// tokens at the same time both get some.
 	lendDivisor = 2
+	// maxTokens is the highest valid number of tokens in a request of a caller or another instance. It exceeds every prepaid total, and
+	// the sum of some thousand such numbers does not overflow.
+	maxTokens = 1 << 50
 )
 
+// isPossible reports whether a request may need so many tokens.
+func isPossible(tokens int64) bool { return tokens >= 0 && tokens <= maxTokens }
+
 // Lend passes tokens on to an instance that is disconnected from the store, and returns their number. They come from the
 // unneeded part of this instance's lease and, if the store is available, from the ledger. They count as spent here, so
 // that the borrower may spend them.
 func (m *Manager) Lend(ctx context.Context, id TransferID, customer string, tokens int64) int64 {
+	if !isPossible(tokens) {
+		m.config.Log.WithFields(log.Fields{"customer": customer, "borrower": string(id.Borrower), "asked": tokens}).Warn("prepaid: impossible request for a loan")
+		return 0
+	}
 	a := m.account(customer)
 	if !m.transfers.begin(id, a, m.config.Clock.Now()) {
 		return 0
 	}
-	fromLease := a.lend(tokens)
+	fromLease := a.lend(tokens, m.keptForUrgent(a))
 	fromLedger := int64(0)
 	if fromLease < tokens && !m.storeUnavailable(m.config.Clock.Now()) {
 		fromLedger = m.acquireForLoan(ctx, a, tokens-fromLease)
@@ -45,18 +55,25 @@
 	Exhausted bool
 	// StoreUnavailable reports that the token holder cannot reach the ledger, so that another instance may succeed.
 	StoreUnavailable bool
+	// Rationed reports that the tokens are kept for more urgent requests.
+	Rationed bool
 }
 
-// Allocate passes tokens on to another instance of the failure domain: the needed number, for which it may enlarge the
-// lease, and up to the wanted number if the lease is large.
-func (m *Manager) Allocate(ctx context.Context, id TransferID, customer string, needed, wanted int64) Allocation {
+// Allocate passes tokens on to another instance of the failure domain for a request of a rank: the needed number, for which it may
+// enlarge the lease, and up to the wanted number if the lease is large.
+func (m *Manager) Allocate(ctx context.Context, id TransferID, customer string, rank int, needed, wanted int64) Allocation {
+	if !isPossible(needed) {
+		m.config.Log.WithFields(log.Fields{"customer": customer, "borrower": string(id.Borrower), "needed": needed}).Warn("prepaid: impossible request for an allocation")
+		return Allocation{Exhausted: true}
+	}
+	wanted = min(wanted, maxTokens)
 	now := m.config.Clock.Now()
 	m.allocatedAt.Store(now.UnixNano())
 	a := m.account(customer)
 	if !m.transfers.begin(id, a, now) {
 		return Allocation{}
 	}
-	allocation := m.allocate(ctx, a, needed, wanted)
+	allocation := m.allocate(ctx, customer, a, rank, needed, wanted)
 	allocation.Tokens = m.transfers.complete(id, allocation.Tokens)
 	if allocation.Tokens == 0 {
 		m.config.Log.WithFields(log.Fields{"customer": customer, "needed": needed, "exhausted": allocation.Exhausted, "away": allocation.StoreUnavailable}).
@@ -67,7 +84,10 @@
 }
 
 // allocate is Allocate without logging and metrics.
-func (m *Manager) allocate(ctx context.Context, a *account, needed, wanted int64) Allocation {
+func (m *Manager) allocate(ctx context.Context, customer string, a *account, rank int, needed, wanted int64) Allocation {
+	if !m.mayTake(customer, a, rank, needed) {
+		return Allocation{Rationed: true}
+	}
 	if tokens, ok := a.reserveToPassOn(needed, wanted); ok {
 		return Allocation{Tokens: tokens}
 	}
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -96,6 +96,10 @@
 	lost     []lostTransfer
 	// returns are the tokens passed back, and their receivers. Each may arrive several times or late.
 	returns []*sentReturn
+	// reduceParked and reportParked are the settings of all managers.
+	reduceParked, reportParked bool
+	// rations makes all managers ration tokens by rank.
+	rations bool
 }
 
 // sentReturn is a return of tokens, the index of its receiver, and whether its tokens were added to an account.
@@ -113,8 +117,8 @@
 
 const managerCount = 3
 
-func newStateMachine() *stateMachine {
-	m := &stateMachine{store: &ledgerStore{}, clock: clockwork.NewFakeClock(), prepaid: 20_000, openRequests: make([][]int64, managerCount), waiting: make([][]*waiter, managerCount)}
+func newStateMachine(reduceParked, reportParked, rations bool) *stateMachine {
+	m := &stateMachine{rations: rations, reduceParked: reduceParked, reportParked: reportParked, store: &ledgerStore{}, clock: clockwork.NewFakeClock(), prepaid: 20_000, openRequests: make([][]int64, managerCount), waiting: make([][]*waiter, managerCount)}
 	for i := range managerCount {
 		m.managers = append(m.managers, m.start(i))
 	}
@@ -122,7 +126,10 @@
 }
 
 func (m *stateMachine) start(i int) *Manager {
-	return newTestManager(m.store, fmt.Sprintf("muscat-%d", i), m.clock, &m.prepaid, managerCount)
+	manager := newTestManager(m.store, fmt.Sprintf("muscat-%d", i), m.clock, &m.prepaid, managerCount)
+	manager.config.ReduceParked, manager.config.ReportParked = m.reduceParked, m.reportParked
+	manager.config.Rations = func() bool { return m.rations }
+	return manager
 }
 
 // spendable returns how many tokens all managers could grant now without a store call.
@@ -166,7 +173,7 @@
 // prepaid total.
 func TestNeverOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newStateMachine()
+		m := newStateMachine(rapid.Bool().Draw(t, "reduce"), rapid.Bool().Draw(t, "report"), rapid.Bool().Draw(t, "ration"))
 		managerIndex := rapid.IntRange(0, managerCount-1)
 		actions := map[string]func(*rapid.T){
 			"reserve": func(t *rapid.T) {
@@ -195,6 +202,7 @@
 				manager := m.managers[managerIndex.Draw(t, "keeper")]
 				manager.updateRates()
 				manager.resizeLeases(context.Background())
+				manager.reportParked()
 				m.store.failureMode = ""
 			},
 			"late write": func(t *rapid.T) {
@@ -209,7 +217,7 @@
 				if from == to {
 					t.Skip("same")
 				}
-				lent := m.managers[from].account("alwusta").lend(rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens"))
+				lent := m.managers[from].account("alwusta").lend(rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens"), 0)
 				if rapid.Bool().Draw(t, "arrives") {
 					m.managers[to].account("alwusta").addBorrowed(lent)
 				}
@@ -222,7 +230,7 @@
 				needed := rapid.SampledFrom([]int64{50, 3_000}).Draw(t, "tokens")
 				m.sequence++
 				id := TransferID{Borrower: m.managers[to].config.Incarnation, Sequence: m.sequence}
-				allocated := m.managers[from].Allocate(canceledContext(), id, "alwusta", needed, 2*needed).Tokens
+				allocated := m.managers[from].Allocate(canceledContext(), id, "alwusta", rapid.IntRange(0, 9).Draw(t, "rank"), needed, 2*needed).Tokens
 				if rapid.Bool().Draw(t, "arrives") {
 					m.managers[to].account("alwusta").addBorrowed(allocated)
 				} else {
@@ -269,7 +277,7 @@
 				m.sequence++
 				id := TransferID{Borrower: "muscat-9", Sequence: m.sequence}
 				m.managers[from].Abandon(id.Borrower, []uint64{id.Sequence})
-				if got := m.managers[from].Allocate(canceledContext(), id, "alwusta", 50, 50).Tokens; got != 0 {
+				if got := m.managers[from].Allocate(canceledContext(), id, "alwusta", 0, 50, 50).Tokens; got != 0 {
 					t.Fatalf("%d tokens passed on for an abandoned request", got)
 				}
 			},
@@ -291,8 +299,9 @@
 				}
 			},
 			"change token holder": func(t *rapid.T) {
-				isHolder := rapid.Bool().Draw(t, "holds")
-				m.managers[managerIndex.Draw(t, "keeper")].config.IsTokenHolder = func() bool { return isHolder }
+				isHolder, isFirst := rapid.Bool().Draw(t, "holds"), rapid.Bool().Draw(t, "first")
+				config := &m.managers[managerIndex.Draw(t, "keeper")].config
+				config.IsTokenHolder, config.IsFirstHolder = func() bool { return isHolder }, func() bool { return isFirst }
 			},
 			"kill": func(t *rapid.T) {
 				i := managerIndex.Draw(t, "keeper")
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -89,14 +89,22 @@
 	// IsFirstHolder reports whether this instance is the regular token holder and does not stand in for another one. If it is
 	// nil, so is every token holder.
 	IsFirstHolder func() bool
-	// RequestAllocation requests the tokens that a request needs, up to the wanted number, from the token holder of the
+	// RequestAllocation requests the tokens that a request of a rank needs, up to the wanted number, from the token holder of the
 	// failure domain. The allocation has StoreUnavailable set if no token holder responds.
-	RequestAllocation func(ctx context.Context, customer string, needed, wanted int64) Allocation
+	RequestAllocation func(ctx context.Context, customer string, rank int, needed, wanted int64) Allocation
 	// Return passes tokens by customer on to the token holder of the failure domain. It returns false if it does not try to.
 	// It is nil if there are no other instances.
 	Return func(tokens map[string]int64) bool
 	// TokenHolderCount returns how many instances lease tokens from the ledger.
 	TokenHolderCount func() int
+	// ReduceParked leaves out tokens that are leased or allocated in advance and rarely needed, since a kill of all instances
+	// parks them.
+	ReduceParked bool
+	// Rations reports whether tokens that do not last for all requests are kept for urgent ones, and leases are sized for that. It
+	// is nil if not.
+	Rations func() bool
+	// ReportParked writes the use of leases with the ledger, to report parked tokens by cause.
+	ReportParked bool
 }
 
 // Manager reserves and settles tokens and manages this instance's leases. It is safe for concurrent use.
@@ -106,6 +114,8 @@
 	borrowSignal chan struct{}
 	// storeFailedAt is when the store last failed or was slow, in Unix nanoseconds; zero if the last call succeeded.
 	storeFailedAt atomic.Int64
+	// outageBeganAt is when the store failed or was slow first since it last responded, in Unix nanoseconds; zero if it responds.
+	outageBeganAt atomic.Int64
 	// storeReturnedAt is when the store last responded again after it had failed, in Unix nanoseconds; zero if it never failed.
 	storeReturnedAt atomic.Int64
 	// callStartedAt is when the call to the store in progress started, in Unix nanoseconds; zero if there is none.
@@ -140,7 +150,10 @@
 	// hasWritten is set by the first update of the ledger, which closes the leases of earlier incarnations.
 	hasWritten bool
 	// closing are the tokens of leases of earlier incarnations that the update in progress closes, by customer.
-	closing        map[string]int64
+	closing map[string]int64
+	// closingUnspent is how much of them was unspent at most, according to their holders. parkedReport is the report that is due.
+	closingUnspent int64
+	parkedReport   parkedReport
 	ratesUpdatedAt time.Time
 	// outageLogged is set while the last logged state of the ledger is unavailable.
 	outageLogged bool
@@ -152,8 +165,12 @@
 	leasesInAdvance bool
 	statusAt        time.Time
 
-	granted, exhausted, unavailable, contended, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack metrics.Counter
-	unspent                                                                                                                 metrics.Gauge
+	// rationedLoggedAt is when a refusal for more urgent requests was last logged, in Unix nanoseconds.
+	rationedLoggedAt atomic.Int64
+
+	granted, exhausted, unavailable, contended, rationed, rationFloor, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack metrics.Counter
+	unspent                                                                                                                                        metrics.Gauge
+	parkedOne, parkedAll, parkedLost                                                                                                               metrics.Counter
 }
 
 // NewManager returns a manager without leases. Run acquires them.
@@ -161,10 +178,11 @@
 	r := c.Metrics
 	return &Manager{
 		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
-		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r), contended: descContended.Counter(r),
+		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r), contended: descContended.Counter(r), rationed: descRationed.Counter(r), rationFloor: descRationFloor.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
 		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r),
 		returned: descReturned.Counter(r), takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
+		parkedOne: descParkedOne.Counter(r), parkedAll: descParkedAll.Counter(r), parkedLost: descParkedLost.Counter(r),
 	}
 }
 
@@ -183,13 +201,19 @@
 	r.once.Do(func() { r.account.settle(r.tokens, min(max(spent, 0), r.tokens)) })
 }
 
-// Reserve reserves tokens of a customer's budget. It waits for the ledger only if the lease does not cover them.
-func (m *Manager) Reserve(ctx context.Context, customer string, tokens int64) (*Reservation, Outcome) {
+// Reserve reserves tokens of a customer's budget for a request of a rank, 0 being the most urgent. It waits for the ledger only if
+// the lease does not cover them.
+func (m *Manager) Reserve(ctx context.Context, customer string, rank int, tokens int64) (*Reservation, Outcome) {
 	if _, limited := m.config.PrepaidTotal(customer); !limited {
 		return &Reservation{}, Granted
 	}
+	if !isPossible(tokens) {
+		m.exhausted.Inc(1)
+		return nil, Exhausted
+	}
 	a := m.account(customer)
-	outcome := m.reserve(ctx, customer, a, tokens)
+	a.ownRequests.Add(1)
+	outcome := m.reserve(ctx, customer, a, rank, tokens)
 	switch outcome {
 	case Granted:
 		m.granted.Inc(1)
@@ -200,21 +224,29 @@
 		m.unavailable.Inc(1)
 	case Contended:
 		m.contended.Inc(1)
+	case Rationed:
+		m.rationed.Inc(1)
 	}
 	return nil, outcome
 }
 
 // reserve reserves tokens from this instance's lease. If they do not suffice, it requests an allocation from the token
 // holder of the domain, and then a larger lease from the ledger.
-func (m *Manager) reserve(ctx context.Context, customer string, a *account, tokens int64) Outcome {
+func (m *Manager) reserve(ctx context.Context, customer string, a *account, rank int, tokens int64) Outcome {
+	leases := m.actsAsTokenHolder()
+	if leases && !m.mayTake(customer, a, rank, tokens) {
+		return Rationed
+	}
 	if a.reserve(tokens) {
 		return Granted
 	}
-	if !m.actsAsTokenHolder() {
-		allocation := m.config.RequestAllocation(ctx, customer, tokens, tokens+a.allocationAhead(tokens))
+	if !leases {
+		allocation := m.config.RequestAllocation(ctx, customer, rank, tokens, tokens+a.allocationAhead(tokens, m.config.ReduceParked))
 		switch {
 		case allocation.Exhausted:
 			return Exhausted
+		case allocation.Rationed:
+			return Rationed
 		case allocation.Tokens > 0:
 			m.borrowed.Inc(allocation.Tokens)
 			a.addBorrowed(allocation.Tokens)
@@ -306,6 +338,7 @@
 			tick.Reset(jitter(tickInterval))
 			m.updateRates()
 			m.reportStatus()
+			m.reportParked()
 		case <-m.updateSignal:
 			m.waitUrgentInterval(ctx)
 		}
@@ -369,7 +402,13 @@
 	if !m.storeUnavailable(now) {
 		m.config.Log.Info("prepaid: store is slow, requesting tokens from other instances")
 	}
+	m.recordStoreFailed(now)
+}
+
+// recordStoreFailed records that a call to the store failed or is slow.
+func (m *Manager) recordStoreFailed(now time.Time) {
 	m.storeFailedAt.Store(now.UnixNano())
+	m.outageBeganAt.CompareAndSwap(0, now.UnixNano())
 }
 
 // startCall records that a call to the store starts. The returned function records its end.
--- a/prepaid/manager_test.go
+++ b/prepaid/manager_test.go
@@ -90,7 +90,7 @@
 			So(<-w.done, ShouldEqual, Granted)
 			lender.account("alwusta").settle(50_000, 0)
 			borrower.config.Borrow = func(_ context.Context, customer string, tokens int64) int64 {
-				return lender.account(customer).lend(tokens)
+				return lender.account(customer).lend(tokens, 0)
 			}
 			store.failureMode = "down"
 			clock.Advance(maxLedgerAge + time.Second)
@@ -140,7 +140,7 @@
 		})
 
 		Convey("stopped instances return unspent leased and borrowed tokens to the ledger", func() {
-			lent := managers[0].account("alwusta").lend(3_000)
+			lent := managers[0].account("alwusta").lend(3_000, 0)
 			So(lent, ShouldBeGreaterThan, int64(0))
 			managers[1].account("alwusta").addBorrowed(lent)
 			for _, m := range managers {
@@ -173,7 +173,7 @@
 			m.ledgerKnown = false
 			m.resizeLeases(context.Background())
 			store.failureMode = "down"
-			_, outcome := m.Reserve(context.Background(), "alwusta", 40_000)
+			_, outcome := m.Reserve(context.Background(), "alwusta", 0, 40_000)
 			So(outcome, ShouldEqual, Exhausted)
 		})
 	})
@@ -216,7 +216,7 @@
 		prepaid := int64(1_000)
 		m := newTestManager(store, "muscat-1", clockwork.NewFakeClock(), &prepaid, 1)
 		m.resizeLeases(context.Background())
-		_, outcome := m.Reserve(context.Background(), "alwusta", 10)
+		_, outcome := m.Reserve(context.Background(), "alwusta", 0, 10)
 		So(outcome, ShouldEqual, Unavailable)
 		So(store.version, ShouldEqual, objectstore.Version(7))
 	})
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -20,7 +20,9 @@
 	// releaseFactor is the multiple of the wanted size above which the surplus is released.
 	releaseFactor = 1.6
 	// leaseShare bounds the lease of an instance for its own requests to this fraction of its share of the remaining budget, so
-	// that few tokens are parked when all instances are killed at once near the end of a budget.
+	// that few tokens are parked when all instances are killed at once near the end of a budget. Where tokens are rationed, the lease
+	// of an instance that allocates to others may have as much: with recoveryHorizon alone, callers were refused a second after
+	// the begin of an outage although two thirds of their budget were left.
 	leaseShare = 0.35
 	// recoveryHorizon is how long the rest of a budget must last at the current rate for the lease of an instance that
 	// allocates tokens to others to last through an outage. If all instances crash, the budget must still serve until they
@@ -31,6 +33,9 @@
 	// idleShare is the fraction that a token holder leases before it has used the budget. An instance that stands in for the
 	// token holder leases for its own rate only.
 	idleShare = 0.04
+	// standInShares divides the even share of an instance that stands in for a token holder, or leases only what requests wait for:
+	// at most this many instances of a domain stand in for each other, and together may park what the token holder alone may.
+	standInShares = 3
 	// minLease is the size in tokens below which nothing is leased in advance. Near the end of a budget, tokens are leased
 	// for one request at a time.
 	minLease = 1500
@@ -74,6 +79,8 @@
 	share float64
 	// allocates is set if this instance leases tokens for others.
 	allocates bool
+	// rations is set if tokens that do not last for all requests are kept for urgent ones.
+	rations bool
 }
 
 // nextLimit returns the limit of an account after the next update. A lease below the fraction fillThreshold of its
@@ -116,9 +123,18 @@
 func (b budget) targetSize(d demand, ahead aheadMode) int64 {
 	ownShare := b.share * float64(b.remaining)
 	rate := max(d.rate(), d.longRatePerSecond)
-	size := max(rate*leaseHorizon.Seconds(), ahead.idleShare()*ownShare)
+	horizon := leaseHorizon
+	if b.rations {
+		horizon = outageHorizon
+	}
+	size := max(rate*horizon.Seconds(), ahead.idleShare()*ownShare)
 	if b.allocates {
-		return int64(min(size, max(ownShare+float64(d.limit-d.used)-rate*recoveryHorizon.Seconds(), crashShare*b.share*float64(b.prepaid))))
+		own := ownShare + float64(d.limit-d.used)
+		most := max(own-rate*recoveryHorizon.Seconds(), crashShare*b.share*float64(b.prepaid))
+		if b.rations {
+			most = max(most, leaseShare*own)
+		}
+		return int64(min(size, most))
 	}
 	return int64(min(size, leaseShare*ownShare))
 }
--- a/prepaid/return.go
+++ b/prepaid/return.go
@@ -60,10 +60,12 @@
 		return true
 	}
 	for customer, tokens := range r.Tokens {
-		if tokens > 0 {
-			m.account(customer).addBorrowed(tokens)
-			m.returned.Inc(tokens)
+		if !isPossible(tokens) {
+			m.config.Log.WithFields(log.Fields{"customer": customer, "returner": string(r.Returner), "tokens": tokens}).Warn("prepaid: impossible return of tokens ignored")
+			continue
 		}
+		m.account(customer).addBorrowed(tokens)
+		m.returned.Inc(tokens)
 	}
 	return true
 }
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -105,6 +105,7 @@
 	changed := m.fencePending || m.restorePending
 	m.closing = nil
 	if !m.hasWritten {
+		m.closingUnspent = next.predecessorsUnspent(m.config.Incarnation)
 		m.closing = next.closePredecessors(m.config.Incarnation)
 		// Closing changes what nobody can spend, so it waits for another reason to write unless this instance writes often.
 		changed = changed || len(m.closing) > 0 && m.actsAsTokenHolder()
@@ -122,6 +123,9 @@
 			changed = true
 		}
 	}
+	if changed && m.config.ReportParked {
+		m.writeUnspent(next)
+	}
 	return next, changed
 }
 
@@ -148,8 +152,13 @@
 		return d, d.limit, true
 	}
 	committed := m.ledger.committed(customer)
-	share := trafficShare(d.limit, committed, m.config.TokenHolderCount())
-	limit := nextLimit(d, budget{prepaid: prepaid, remaining: max(prepaid-committed, 0), share: share, allocates: m.allocates()}, fillThreshold, ahead)
+	holders := m.config.TokenHolderCount()
+	if m.config.ReduceParked && ahead != aheadWithIdle {
+		holders *= standInShares
+	}
+	share := trafficShare(d.limit, committed, holders)
+	limit := nextLimit(d, budget{prepaid: prepaid, remaining: max(prepaid-committed, 0), share: share, allocates: m.allocates(), rations: m.rations()}, fillThreshold, ahead)
+	m.account(customer).setShare(share)
 	if m.restorePaused() {
 		limit = min(limit, d.limit)
 	}
@@ -266,6 +275,9 @@
 		m.parked.Inc(tokens)
 		m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier incarnation closed")
 	}
+	if len(m.closing) > 0 {
+		m.parkedReport = parkedReport{pending: m.config.ReportParked, closedAt: m.config.Clock.Now(), closed: sumOf(m.closing), unspent: m.closingUnspent}
+	}
 	m.closing = nil
 }
 
@@ -288,6 +300,7 @@
 
 // recordStoreAvailable records that the store responded.
 func (m *Manager) recordStoreAvailable() {
+	m.outageBeganAt.Store(0)
 	if m.storeFailedAt.Swap(0) != 0 {
 		m.storeReturnedAt.Store(m.config.Clock.Now().UnixNano())
 	}
@@ -309,7 +322,7 @@
 // recordStoreResult records the result of the last call to the store, and logs the start and the end of an outage.
 func (m *Manager) recordStoreResult(err error) {
 	if err != nil {
-		m.storeFailedAt.Store(m.config.Clock.Now().UnixNano())
+		m.recordStoreFailed(m.config.Clock.Now())
 	} else {
 		m.recordStoreAvailable()
 	}
--- a/quota/contention_test.go
+++ b/quota/contention_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/api"
+	"pumiceshelf/budget"
 	"pumiceshelf/internal/standin"
 )
 
@@ -71,9 +74,8 @@
 	Convey("Given an open lease in a domain whose instances are all killed", t, func() {
 		f := newFleet(t, 10_000)
 		a, b := f.start("d1", "a"), f.start("d1", "b")
-		far := f.start("d2", "x")
-		holder := f.holder("d1")
-		f.reserve(holder, "r1", 100)
+		f.start("d2", "x")
+		f.reserve(f.holder("d1"), "r1", 100)
 		f.kill(a)
 		f.kill(b)
 
@@ -81,17 +83,48 @@
 			f.advance(2 * time.Minute)
 			So(f.ledger().Leases[0].Closed, ShouldBeFalse)
 		})
-		Convey("the lease is closed once the incarnations are retired, with all acquired tokens as the bound", func() {
-			taken := f.ledger().Leases[0].Taken
-			f.bundles.set(10_000, a.self.Incarnation, b.self.Incarnation)
-			f.advance(time.Minute)
-			l := f.ledger().Leases[0]
+	})
+	for _, c := range []struct {
+		name string
+		// witnessResponds is set if the holder's witness in its domain keeps the request. Otherwise one of another domain does.
+		witnessResponds bool
+		billed          budget.Tokens
+	}{
+		{"the lease is closed once the incarnations are retired, with all acquired tokens as the bound", true, 0},
+		{"if an instance of another domain keeps the request, it bills the request's bound, and the rest is parked", false, 100},
+	} {
+		Convey(c.name, t, func() {
+			var l *api.QuotaLease
+			var taken, recorded uint64
+			var report BudgetReport
+			var next Outcome
+			// Calls take no time of the fleet's clock here. Otherwise a call to the witness that takes some real time exceeds
+			// mirrorTimeout, and an instance of another domain keeps the request and bills it.
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 10_000)
+				f.awaitCalls = synctest.Wait
+				a, b := f.start("d1", "a"), f.start("d1", "b")
+				far := f.start("d2", "x")
+				holder, witness := f.holder("d1"), f.nonHolder("d1")
+				f.setDisconnected(holder, witness, !c.witnessResponds)
+				f.reserve(holder, "r1", 100)
+				f.kill(a)
+				f.kill(b)
+				taken = f.ledger().Leases[0].Taken
+				f.bundles.set(10_000, a.self.Incarnation, b.self.Incarnation)
+				f.advance(time.Minute)
+				l, report = f.ledger().Leases[0], f.report()
+				recorded = uint64(report.Recorded)
+				next = f.reserve(far, "r2", 100).Outcome
+			})
 			So(l.Closed, ShouldBeTrue)
 			So(l.Bound, ShouldEqual, taken)
-			So(f.report().Parked, ShouldEqual, taken)
-			So(f.reserve(far, "r2", 100).Outcome, ShouldEqual, Granted)
+			So(recorded, ShouldEqual, c.billed)
+			So(report.Parked, ShouldEqual, budget.Tokens(taken)-c.billed)
+			So(report.Agrees, ShouldBeTrue)
+			So(next, ShouldEqual, Granted)
 		})
-	})
+	}
 	Convey("A holder alone in its domain has no witness, so the ceiling bounds the tokens parked once it is retired", t, func() {
 		f := newFleet(t, 10_000)
 		a := f.start("d1", "a")
--- a/admit/estimate.go
+++ b/servicetime/servicetime.go
@@ -1,4 +1,7 @@
-package admit
+// Package servicetime estimates how long requests take at endpoints, by their size. Queues and load shedding use it.
+//
+// The package is pure: callers pass the current time. An Estimator is not safe for concurrent use.
+package servicetime
 
 import (
 	"math/bits"
@@ -13,15 +16,15 @@
 	deviationShift = 2
 	// upperDeviations is how many mean deviations the upper estimate lies above the mean.
 	upperDeviations = 3
-	// sampleLifetime is how long a sample counts as fresh.
-	sampleLifetime = 30 * time.Second
+	// SampleLifetime is how long a sample counts as fresh.
+	SampleLifetime = 30 * time.Second
 	// decayInterval is the shortest time between two halvings of a stale estimate that causes refusals.
 	decayInterval = time.Second
 )
 
-// serviceTimeEstimator tracks the mean and mean deviation of service times by request size, like the round-trip time
+// Estimator tracks the mean and mean deviation of service times by request size, like the round-trip time
 // estimator of TCP. It assumes no model of how service time grows with cost.
-type serviceTimeEstimator struct {
+type Estimator struct {
 	mean      [numCostBuckets]time.Duration
 	deviation [numCostBuckets]time.Duration
 	sampledAt [numCostBuckets]time.Time
@@ -32,8 +35,8 @@
 	return min(bits.Len64(cost), numCostBuckets-1)
 }
 
-// observe records the service time of a request. It reports whether there was no fresh sample of this request size.
-func (e *serviceTimeEstimator) observe(now time.Time, cost uint64, elapsed time.Duration) bool {
+// Observe records the service time of a request. It reports whether there was no fresh sample of this request size.
+func (e *Estimator) Observe(now time.Time, cost uint64, elapsed time.Duration) bool {
 	b := costBucket(cost)
 	fresh := e.isFresh(now, b)
 	e.sampledAt[b] = now
@@ -48,13 +51,13 @@
 	return false
 }
 
-func (e *serviceTimeEstimator) isFresh(now time.Time, bucket int) bool {
-	return !e.sampledAt[bucket].IsZero() && now.Sub(e.sampledAt[bucket]) <= sampleLifetime
+func (e *Estimator) isFresh(now time.Time, bucket int) bool {
+	return !e.sampledAt[bucket].IsZero() && now.Sub(e.sampledAt[bucket]) <= SampleLifetime
 }
 
 // bucketFor returns the largest bucket with samples that is not above the bucket of the cost, or -1 if there is none.
 // Larger buckets are not used, so that service times of larger requests do not cause a refusal.
-func (e *serviceTimeEstimator) bucketFor(cost uint64) int {
+func (e *Estimator) bucketFor(cost uint64) int {
 	for b := costBucket(cost); b >= 0; b-- {
 		if e.mean[b] > 0 {
 			return b
@@ -63,9 +66,12 @@
 	return -1
 }
 
-// expectedTime returns the mean service time for the cost, or zero if unknown. The samples may be stale: those of the
+// Known reports whether requests of this size, not only smaller ones, were observed.
+func (e *Estimator) Known(cost uint64) bool { return e.mean[costBucket(cost)] > 0 }
+
+// ExpectedTime returns the mean service time for the cost, or zero if unknown. The samples may be stale: those of the
 // last burst are the best estimate for the next one.
-func (e *serviceTimeEstimator) expectedTime(cost uint64) time.Duration {
+func (e *Estimator) ExpectedTime(cost uint64) time.Duration {
 	b := e.bucketFor(cost)
 	if b < 0 {
 		return 0
@@ -73,8 +79,8 @@
 	return e.mean[b]
 }
 
-// recentMean returns the mean service time for the cost, or zero if there is no fresh sample.
-func (e *serviceTimeEstimator) recentMean(now time.Time, cost uint64) time.Duration {
+// RecentMean returns the mean service time for the cost, or zero if there is no fresh sample.
+func (e *Estimator) RecentMean(now time.Time, cost uint64) time.Duration {
 	b := e.bucketFor(cost)
 	if b < 0 || !e.isFresh(now, b) {
 		return 0
@@ -82,8 +88,8 @@
 	return e.mean[b]
 }
 
-// upperEstimate returns a service time that few requests of the cost exceed, or zero if unknown.
-func (e *serviceTimeEstimator) upperEstimate(cost uint64) time.Duration {
+// UpperEstimate returns a service time that few requests of the cost exceed, or zero if unknown.
+func (e *Estimator) UpperEstimate(cost uint64) time.Duration {
 	b := e.bucketFor(cost)
 	if b < 0 {
 		return 0
@@ -91,9 +97,9 @@
 	return e.mean[b] + upperDeviations*e.deviation[b]
 }
 
-// decayIfStale is called when an estimate causes a refusal. It halves an estimate without a fresh sample, at most once
+// DecayIfStale is called when an estimate causes a refusal. It halves an estimate without a fresh sample, at most once
 // per decayInterval, so that requests of this size are eventually admitted and measured again.
-func (e *serviceTimeEstimator) decayIfStale(now time.Time, cost uint64) {
+func (e *Estimator) DecayIfStale(now time.Time, cost uint64) {
 	b := e.bucketFor(cost)
 	if b < 0 || e.isFresh(now, b) || now.Sub(e.decayedAt[b]) < decayInterval {
 		return
