Explain where a request would go with pumicectl where

Cause: operators ask where a request would go now, and why, without sending it. Change: pumicectl where asks an instance's Explain; pumicebench gets the command processes.

--- a/admin/metrics_page_test.go
+++ b/admin/metrics_page_test.go
@@ -24,6 +24,7 @@
 	_ "pumiceshelf/gateway"
 	_ "pumiceshelf/idempotency"
 	_ "pumiceshelf/logsink"
+	_ "pumiceshelf/members"
 	_ "pumiceshelf/objectstore"
 	_ "pumiceshelf/orders"
 	_ "pumiceshelf/peer"
--- a/cmd/pumicebench/main.go
+++ b/cmd/pumicebench/main.go
@@ -14,6 +14,7 @@
 
 	"pumiceshelf/internal/bench"
 	"pumiceshelf/internal/command"
+	"pumiceshelf/internal/soak"
 )
 
 type listCommand struct{}
@@ -41,12 +42,24 @@
 	Seed    uint64 `long:"seed" default:"1" description:"first seed; each round takes the next"`
 }
 
+type processesCommand struct {
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the load and the faults"`
+	Duration  time.Duration `long:"duration" default:"20s" description:"how long to send requests"`
+	Instances int           `long:"instances" default:"6" description:"number of instances, each in a process of its own"`
+	Program   string        `long:"program" description:"path of pumiceshelf; built from the source tree if absent"`
+	Logs      string        `long:"logs" description:"existing folder for the settings and logs of the instances; a temporary one if absent"`
+}
+
+// faultStatus is the exit status of a run that ended with a fault of the soak test itself. A violated guarantee has status 1.
+const faultStatus = 2
+
 func main() {
 	command.Main("pumicebench", []command.Command{
 		{Name: "list", Short: "List the experiments", Long: "Prints each experiment with its policies.", Data: &listCommand{}},
 		{Name: "run", Short: "Run one experiment", Long: "Prints one JSON object as the last line; fails if a promise broke.", Data: &runCommand{}},
 		{Name: "compare", Short: "Compare policies", Long: "Runs every policy over the seeds; prints median/worst of each figure.", Data: &compareCommand{}},
 		{Name: "capacity", Short: "Measure slopes", Long: "Measures what grows with instances, customers and budgets, for docs/CAPACITY.md.", Data: &capacityCommand{}},
+		{Name: "processes", Short: "Run instances in separate processes under faults", Long: "Prints one JSON object as the last line; exits with status 1 if a guarantee was violated, 2 after a fault of the test itself.", Data: &processesCommand{}},
 		{Name: "soak", Short: "Run two-faults on and on", Long: "Runs rounds of random faults on both deployments and sums them up.", Data: &soakCommand{}},
 	})
 }
@@ -156,3 +169,19 @@
 	defer stop()
 	return bench.Capacity(ctx, os.Stdout)
 }
+
+// Execute implements flags.Commander.
+func (c *processesCommand) Execute([]string) error {
+	ctx, stop := interruptContext()
+	defer stop()
+	r, err := soak.Run(ctx, soak.Config{Seed: c.Seed, Duration: c.Duration, Instances: c.Instances, Program: c.Program, Folder: c.Logs})
+	for _, trace := range r.Traces {
+		fmt.Println(trace)
+	}
+	fmt.Println(r.JSON())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(faultStatus)
+	}
+	return r.Err()
+}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -126,6 +126,7 @@
 		{command{"endpoints", "Show every endpoint as each instance sees it", endpointsHelp, &endpointsCommand{app: a}}, nil},
 		{command{"budget", "Show a customer's budgets", budgetHelp, &budgetCommand{app: a}}, nil},
 		{command{"explain", "Tell the story of a request", explainHelp, &explainCommand{app: a}}, nil},
+		{command{"where", "Tell where a request would go now", whereHelp, &whereCommand{app: a}}, nil},
 	}
 	for _, g := range groups {
 		parent, err := parser.AddCommand(g.name, g.short, g.long, g.data)
