--- a/router/losses_load_test.go
+++ b/router/losses_load_test.go
@@ -130,7 +130,8 @@
 		r := &Router{config: Config{Clock: clock, Log: logger}, contact: &registry.Contact{}, chooser: placement.New(nil)}
 		r.freezeGuard = newFreezeGuard(clock, func() {})
 		if name == f.unlisted {
-			r.startedAt = clock.Now()
+			// It starts when the play begins.
+			r.startedAt = clock.Now().Add(lossPeriod + time.Second)
 		}
 		r.endpointView.Store(set.View())
 		in := &lossInstance{connectionLosses: connectionLosses{r}, fleet: f, known: make(map[string]time.Time)}
