--- a/prepaid/ration.go
+++ b/prepaid/ration.go
@@ -14,6 +14,10 @@
 	// 9 s. minOutageHorizon applies to outages that last longer.
 	outageHorizon    = 9 * time.Second
 	minOutageHorizon = 2 * time.Second
+	// topUpHorizon is for how long the rest of a budget must last for the urgent requests of its customer: the least time in which
+	// operators who see that it runs short raise it. A kill of all instances may park most of it, and callers at a desk wait for
+	// an answer, while large prompts of less urgent routes would use up the rest in a few seconds.
+	topUpHorizon = time.Minute
 	// rationLogInterval is the minimum time between two log lines about rationed requests.
 	rationLogInterval = time.Second
 )
@@ -60,7 +64,7 @@
 	if m.storeUnavailable(now) {
 		return m.outageRemaining(now)
 	}
-	return recoveryHorizon
+	return topUpHorizon
 }
 
 // IsRationed reports whether a request of a rank would be refused now because the tokens are kept for more urgent ones, without a change
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -20,6 +20,8 @@
 	// demandTime is the time constant of the demand by rank. It spans some tens of requests of most customers, and follows a burst
 	// while the outage lasts.
 	demandTime = 10 * time.Second
+	// minObserved is the time that a shorter one since the first request counts as: a single request says little of the demand.
+	minObserved = time.Second
 	// serviceTime is the time constant of the share served. An outage of a few seconds after normal service starves no rank.
 	serviceTime = time.Minute
 	// floorShare is the share of the average that each rank is served at least. Callers of each kind are to be served at least a
@@ -50,7 +52,8 @@
 // Demand records what the requests of one customer ask for, by rank.
 type Demand struct {
 	tokens, asked, granted [Ranks]float64
-	at                     time.Time
+	// since is the time of the first request.
+	since, at time.Time
 }
 
 // Decide decides on a request of a rank for a number of tokens, and records it.
@@ -101,7 +104,14 @@
 	for _, tokens := range d.tokens[:rank] {
 		sum += tokens
 	}
-	return int64(sum / demandTime.Seconds() * max(lasts, 0).Seconds())
+	return int64(sum / d.observed().Seconds() * max(lasts, 0).Seconds())
+}
+
+// observed returns the time to which the recorded tokens refer. It is shorter than demandTime at first: right after a kill of all
+// instances, when the rest of a budget matters most, the demand would else be taken for a fraction of what it is.
+func (d *Demand) observed() time.Duration {
+	since := max(d.at.Sub(d.since), minObserved)
+	return time.Duration(float64(demandTime) * (1 - math.Exp(-since.Seconds()/demandTime.Seconds())))
 }
 
 // starves reports whether a rank was served less than floorShare of the average. The request that asks is counted as not served.
@@ -119,8 +129,12 @@
 // advance lets what was recorded decay until now.
 func (d *Demand) advance(now time.Time) {
 	elapsed := now.Sub(d.at)
-	if d.at.IsZero() || elapsed < 0 {
-		d.at = now
+	switch {
+	case d.at.IsZero():
+		d.since, d.at = now, now
+		return
+	case elapsed < 0:
+		d.since, d.at = d.since.Add(elapsed), now
 		return
 	}
 	demand, service := math.Exp(-elapsed.Seconds()/demandTime.Seconds()), math.Exp(-elapsed.Seconds()/serviceTime.Seconds())
--- a/ration/ration_test.go
+++ b/ration/ration_test.go
@@ -148,3 +148,24 @@
 		So(d.Decide(99, 0, Supply{Tokens: 1e9, Lasts: time.Second}, now).Granted, ShouldBeTrue)
 	})
 }
+
+// TestDemandIsKnownSoon guards against an instance that takes the demand for a part of what it is in the seconds after its start, so
+// that less urgent requests use up what a kill of all instances has left of a budget.
+func TestDemandIsKnownSoon(t *testing.T) {
+	Convey("Given an instance that starts under a constant load", t, func() {
+		var d Demand
+		begin, stock := time.Unix(1000, 0), int64(1e9)
+		for _, at := range []time.Duration{2 * time.Second, 5 * time.Second, 60 * time.Second} {
+			play(&d, begin, at, &stock, outageOf(0), true, urgentShort, long)
+			kept, needed := d.Kept(10*time.Second, begin.Add(at)), 10*urgentShort.perSecond*float64(urgentShort.tokens)
+			So(float64(kept), ShouldAlmostEqual, needed, needed/4)
+			begin, d = begin.Add(time.Hour), Demand{}
+		}
+		Convey("a first request says little", func() {
+			So(d.Decide(3, 1100, Supply{Tokens: 1e9, Lasts: 10 * time.Second}, begin).Granted, ShouldBeTrue)
+			So(d.Kept(10*time.Second, begin), ShouldEqual, 0)
+			d.Decide(5, 9200, Supply{Tokens: 1e9, Lasts: 10 * time.Second}, begin)
+			So(d.Kept(10*time.Second, begin), ShouldBeLessThan, 12*1100)
+		})
+	})
+}
