--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -67,6 +67,9 @@
 	// ownRequests counts this instance's requests since the last update of ownRequestsPerSecond, their moving average per second.
 	ownRequests          atomic.Int64
 	ownRequestsPerSecond float64
+	// aheadRequested is set while a request asks the token holder for tokens in advance. None does before aheadNotBefore.
+	aheadRequested bool
+	aheadNotBefore time.Time
 	// demandByRank is what requests asked for by rank, share the fraction of the customer's traffic for which this instance leases.
 	demandByRank ration.Demand
 	share        float64
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -241,7 +241,9 @@
 		return Granted
 	}
 	if !leases {
-		allocation := m.config.RequestAllocation(ctx, customer, rank, tokens, tokens+a.allocationAhead(tokens, m.config.ReduceParked))
+		allocation := m.requestAhead(a, tokens, func(wanted int64) Allocation {
+			return m.config.RequestAllocation(ctx, customer, rank, tokens, wanted)
+		})
 		switch {
 		case allocation.Exhausted:
 			return Exhausted
