Give calls that take tokens back more time, and shrink loans while their responses are lost

Change: calls of Abandon and Return may take 1.5 s, since no caller waits for them; where tokens are rationed, a loan that falls short halves the next one, down to what waiting requests need.

--- a/members/abandon.go
+++ b/members/abandon.go
@@ -15,6 +15,9 @@
 	abandonRetryInterval = 300 * time.Millisecond
 	// abandonTimeout is how long they are repeated. After it, the tokens of a response that was lost stay unused.
 	abandonTimeout = 20 * time.Second
+	// repairTimeout bounds a call that abandons requests or returns tokens. No caller waits for it. With callTimeout, all attempts of an
+	// instance with a full link failed, and a fifth of a customer's budget stayed unused.
+	repairTimeout = 1500 * time.Millisecond
 	// maxUnanswered bounds the requests without a response that are kept for one instance.
 	maxUnanswered = 1024
 )
@@ -108,7 +111,7 @@
 }
 
 func (m *Members) callAbandon(ctx context.Context, address string, request *api.AbandonRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	conn := m.pool.Get(ctx, address, m.dialPeer)
 	defer conn.Close()
--- a/members/abandon_test.go
+++ b/members/abandon_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -58,6 +59,16 @@
 		So(borrower.RequestAllocation(t.Context(), "alwusta", 0, 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true})
 		So(lent, ShouldHaveLength, 1)
 
+		Convey("abandoning it may take longer than a request that a caller waits for", func() {
+			var left time.Duration
+			borrower.config.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+				deadline, _ := ctx.Deadline()
+				left = time.Until(deadline)
+				return nil, context.DeadlineExceeded
+			}
+			borrower.abandonUnanswered(t.Context())
+			So(left, ShouldBeGreaterThan, 2*callTimeout)
+		})
 		Convey("the token holder takes the tokens back", func() {
 			lossy = false
 			borrower.abandonUnanswered(t.Context())
--- a/members/returning.go
+++ b/members/returning.go
@@ -88,7 +88,7 @@
 }
 
 func (m *Members) callReturn(ctx context.Context, r outgoingReturn) (*api.ReturnReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	conn := m.pool.Get(ctx, r.address, m.dialPeer)
 	defer conn.Close()
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -54,6 +54,8 @@
 	waiters list.List
 	// loanFailedAt is the last time that a loan brought less than was requested.
 	loanFailedAt time.Time
+	// loanHalvings is how often the size of loans is halved now.
+	loanHalvings int
 	// ratePerSecond is the moving average of tokens used per second. rateBaseline is the value of used at its last update.
 	ratePerSecond float64
 	rateBaseline  int64
--- a/prepaid/ahead_test.go
+++ b/prepaid/ahead_test.go
@@ -57,3 +57,40 @@
 		})
 	})
 }
+
+// TestLoansShrinkWhileResponsesAreLost guards against loans for the next seconds whose lenders count the tokens as spent while their
+// responses are lost.
+func TestLoansShrinkWhileResponsesAreLost(t *testing.T) {
+	Convey("Given an instance that borrows tokens while the store is unavailable", t, func() {
+		clock, prepaid, ctx := clockwork.NewFakeClock(), int64(10_000_000), context.Background()
+		m := newTestManager(&ledgerStore{}, "muscat-1", clock, &prepaid, 1)
+		m.config.Rations = func() bool { return true }
+		m.account("alwusta").ratePerSecond = 100_000
+		var asked []int64
+		answered := false
+		m.config.Borrow = func(_ context.Context, _ string, tokens int64) int64 {
+			asked = append(asked, tokens)
+			if answered {
+				return tokens
+			}
+			return 0
+		}
+		borrow := func() {
+			m.borrowForAll(ctx)
+			clock.Advance(2 * loanRetryDelay)
+		}
+		for range 4 {
+			borrow()
+		}
+		So(asked, ShouldResemble, []int64{500_000, 250_000, 125_000, 62_500})
+		Convey("but not below what waiting requests need, and until one is answered", func() {
+			m.account("alwusta").addWaiter(90_000)
+			answered = true
+			borrow()
+			So(asked[4], ShouldEqual, 90_000)
+			m.account("alwusta").used = m.account("alwusta").limit
+			borrow()
+			So(asked[5], ShouldBeGreaterThanOrEqualTo, 500_000)
+		})
+	})
+}
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -156,6 +156,9 @@
 func (m *Manager) borrowForAll(ctx context.Context) {
 	for customer, a := range m.snapshotAccounts() {
 		wanted := shortfall(a.demand())
+		if m.rations() {
+			wanted = a.boundLoan(wanted)
+		}
 		if wanted <= 0 || a.loanFailedRecently(m.config.Clock.Now()) {
 			continue
 		}
@@ -165,6 +168,7 @@
 			m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": borrowed, "asked": wanted}).Info("prepaid: tokens borrowed")
 			a.addBorrowed(borrowed)
 		}
+		a.recordLoan(borrowed < wanted)
 		if borrowed < wanted {
 			a.recordLoanFailure(m.config.Clock.Now())
 			a.refuseWaiters(false)
