Estimate the speed of engines from observed streams

Cause: endpoints that report no work time cannot be told apart by speed, and the prefill rate is a constant from other engines. Change: endpointload keeps up to 15 observations of each endpoint process (prompt tokens per second up to the first event, median time between events) and estimates from the faster ones, because queues, disturbances and the network only make them slower. Invalid values and outliers are dropped and counted. Nothing records observations yet.

--- a/endpointload/endpointload.go
+++ b/endpointload/endpointload.go
@@ -70,6 +70,8 @@
 	// TypicalWorkTime is the median of the work times of the last reports. It separates the lasting speed of an endpoint from
 	// short disturbances. It is zero if none is known.
 	TypicalWorkTime float64
+	// Learned is the speed that instances have observed.
+	Learned Learned
 }
 
 // Fresh reports whether the report still describes the queue of the endpoint.
@@ -80,6 +82,9 @@
 	Endpoint registry.Endpoint
 	Report
 	Age time.Duration
+	// Observation is the newest one of the endpoint, zero if there is none, and ObservationAge its age.
+	Observation    Observation
+	ObservationAge time.Duration
 }
 
 // Table holds the newest reports of endpoints.
@@ -107,6 +112,9 @@
 	// Merged is the number of those that were news, Dropped of those with impossible values or of more endpoints than the table
 	// holds.
 	Merged, Dropped int64
+	// Observed is the number of observations that were news, of this instance and of others, and Outliers of those dropped because
+	// of impossible values or because they differ too much from the estimate.
+	Observed, Outliers int64
 }
 
 // state holds the reports of one process of an endpoint.
@@ -115,6 +123,7 @@
 	report    Report
 	at        time.Time
 	workTimes []workTime
+	learner   learner
 	// own is set if the process has sent this instance a report itself.
 	own bool
 }
@@ -145,6 +154,33 @@
 	}
 }
 
+// RecordObservation records what a stream of this instance told of the speed of an endpoint. Observations of processes of which no
+// report is shared are ignored.
+func (t *Table) RecordObservation(e registry.Endpoint, o Observation, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(e, o, 0, now)
+}
+
+// observe records an observation that was made some time ago.
+func (t *Table) observe(e registry.Endpoint, o Observation, age time.Duration, now time.Time) {
+	s := t.states[e.ID]
+	if s == nil || !s.endpoint.SameProcess(e) || o == (Observation{}) {
+		return
+	}
+	if !o.valid() || age < 0 || age >= workTimeTTL {
+		t.counts.Outliers++
+		return
+	}
+	added, outlier := s.learner.add(o, now.Add(-age), now)
+	if added {
+		t.counts.Observed++
+	}
+	if outlier {
+		t.counts.Outliers++
+	}
+}
+
 // Merge records the reports that another instance passes on. Invalid ones are dropped and counted.
 func (t *Table) Merge(list []Statement, now time.Time) {
 	t.mu.Lock()
@@ -153,9 +189,11 @@
 		switch {
 		case s.Endpoint.ID == "" || !s.valid() || s.Age < 0 || s.Age > workTimeTTL || t.states[s.Endpoint.ID] == nil && len(t.states) >= maxEndpoints:
 			t.counts.Dropped++
+			continue
 		case t.apply(s, now, false):
 			t.counts.Merged++
 		}
+		t.observe(s.Endpoint, s.Observation, s.ObservationAge, now)
 	}
 }
 
@@ -212,7 +250,7 @@
 	if s == nil || !s.endpoint.SameProcess(e) || now.Sub(s.at) >= workTimeTTL {
 		return View{}, false
 	}
-	return View{Report: s.report, Age: now.Sub(s.at), TypicalWorkTime: s.typicalWorkTime(now)}, true
+	return View{Report: s.report, Age: now.Sub(s.at), TypicalWorkTime: s.typicalWorkTime(now), Learned: s.learner.learned(now)}, true
 }
 
 // typicalWorkTime returns the median of the work times that are not older than workTimeTTL, or zero.
@@ -250,7 +288,11 @@
 	var all []Statement
 	for _, s := range t.states {
 		if age := now.Sub(s.at); age < workTimeTTL {
-			all = append(all, Statement{Endpoint: s.endpoint, Report: s.report, Age: age})
+			st := Statement{Endpoint: s.endpoint, Report: s.report, Age: age}
+			if o, age, ok := s.learner.newest(now); ok {
+				st.Observation, st.ObservationAge = o, age
+			}
+			all = append(all, st)
 		}
 	}
 	slices.SortFunc(all, func(a, b Statement) int {
@@ -286,7 +328,11 @@
 
 // size returns the most bytes that the encoded statement takes.
 func (s Statement) size() int {
-	return statementBytes + len(s.Endpoint.ID) + len(s.Endpoint.Service) + len(s.Endpoint.Address) + len(s.Endpoint.SoftwareVersion)
+	size := statementBytes + len(s.Endpoint.ID) + len(s.Endpoint.Service) + len(s.Endpoint.Address) + len(s.Endpoint.SoftwareVersion)
+	if s.Observation != (Observation{}) {
+		size += observationBytes
+	}
+	return size
 }
 
 // Retain deletes the reports of endpoints for which known returns false.
