Pass observed speeds of engines on to other instances

Cause: one instance observes a given engine about once in 20 s, too seldom for an estimate. Change: a report in ExchangeLoads also has the newest observation of its endpoint process, with its age; an earlier release ignores the new fields.

--- a/members/loads.go
+++ b/members/loads.go
@@ -36,6 +36,8 @@
 	descLoadExchanges = telemetry.Describe("endpointload.exchanges", "exchanges", "Exchanges of load reports with another instance that this one began.")
 	descLoadFailures  = telemetry.Describe("endpointload.exchanges.failed", "exchanges", "Those to which the other instance did not respond, or with an error.")
 	descLoadMerged    = telemetry.Describe("endpointload.statements.merged", "statements", "Load reports passed on by other instances that were newer than the known ones.")
+	descObserved      = telemetry.Describe("endpointload.observations", "observations", "Observed streams, of this instance and of others, from which the speed of an endpoint is estimated.")
+	descOutliers      = telemetry.Describe("endpointload.observations.dropped", "observations", "Those that were dropped because of impossible values or because they differ too much from the estimate.")
 	descLoadDropped   = telemetry.Describe("endpointload.statements.dropped", "statements", "Load reports passed on by other instances that were dropped because of impossible values or too many endpoints.")
 )
 
@@ -47,7 +49,7 @@
 	failures map[string]int
 	transit  time.Duration
 
-	exchanges, failed, merged, dropped metrics.Counter
+	exchanges, failed, merged, dropped, observed, outliers metrics.Counter
 	// mu guards counted, the part of the table's counts that the metrics contain.
 	mu      sync.Mutex
 	counted endpointload.Counts
@@ -57,6 +59,7 @@
 	l.failures = make(map[string]int)
 	l.exchanges, l.failed = descLoadExchanges.Counter(r), descLoadFailures.Counter(r)
 	l.merged, l.dropped = descLoadMerged.Counter(r), descLoadDropped.Counter(r)
+	l.observed, l.outliers = descObserved.Counter(r), descOutliers.Counter(r)
 }
 
 // recordFailure records that an exchange with an instance failed.
@@ -124,6 +127,8 @@
 	counts := m.config.Loads.Counts()
 	m.loads.merged.Inc(counts.Merged - m.loads.counted.Merged)
 	m.loads.dropped.Inc(counts.Dropped - m.loads.counted.Dropped)
+	m.loads.observed.Inc(counts.Observed - m.loads.counted.Observed)
+	m.loads.outliers.Inc(counts.Outliers - m.loads.counted.Outliers)
 	m.loads.counted = counts
 }
 
@@ -152,10 +157,19 @@
 			SoftwareVersion: s.Endpoint.SoftwareVersion, Running: int32(s.Running), Waiting: int32(s.Waiting), Slots: int32(s.Slots),
 			WorkTime: s.WorkTime, Age: durationpb.New(s.Age + extraAge),
 		})
+		if s.Observation != (endpointload.Observation{}) {
+			encodeObservation(out.Loads[len(out.Loads)-1], s.Observation, s.ObservationAge+extraAge)
+		}
 	}
 	return out
 }
 
+// encodeObservation adds an observation to a report. Its values fit because package endpointload bounds them.
+func encodeObservation(to *api.EndpointReport, o endpointload.Observation, age time.Duration) {
+	to.PrefillRate, to.EventGapUs = uint32(o.PrefillRate), uint32(o.EventGap/time.Microsecond)
+	to.ObservationAgeMs = uint32(age / time.Millisecond)
+}
+
 // decodeReports decodes reports that were extraAge on the way.
 func decodeReports(m *api.EndpointReports, extraAge time.Duration) []endpointload.Statement {
 	var out []endpointload.Statement
@@ -166,6 +180,10 @@
 			},
 			Report: endpointload.Report{Running: int(l.Running), Waiting: int(l.Waiting), Slots: int(l.Slots), WorkTime: l.WorkTime},
 			Age:    l.Age.AsDuration() + extraAge,
+			Observation: endpointload.Observation{
+				PrefillRate: int(l.PrefillRate), EventGap: time.Duration(l.EventGapUs) * time.Microsecond,
+			},
+			ObservationAge: time.Duration(l.ObservationAgeMs)*time.Millisecond + extraAge,
 		})
 	}
 	return out
--- a/members/loads_test.go
+++ b/members/loads_test.go
@@ -178,6 +178,11 @@
 
 func (p *loadPeer) record(i int, workTime float64) {
 	p.config.Loads.Record(loadEndpoint(i), endpointload.Report{Running: 3, Waiting: 1, Slots: 8, WorkTime: workTime}, time.Now())
+	if workTime > 0 {
+		// The values have their greatest length in a message.
+		o := endpointload.Observe(25_000, time.Second/200+rand.N(time.Second/1000), 5*time.Second+rand.N(time.Second))
+		p.config.Loads.RecordObservation(loadEndpoint(i), o, time.Now())
+	}
 }
 
 func (p *loadPeer) knows(i int) bool {
