Record the speed of engines from the streams that pass through

Cause: nothing recorded the observations from which package endpointload estimates the speed of engines. Change: the gateway records when the request was sent and when each event of a stream arrives; at the end of the stream placement passes the rate up to the first event and the usual time between events to the table of load reports. Only the part of the prompt that belongs to the request counts as not cached, from 1,024 tokens on. The first event does not count of resumed streams, while the instance has another prompt at the engine, or if the engine reported waiting requests. Gaps in which the caller held up the instance do not count. Nothing is kept of endpoints whose reports are not shared. Measured: go test ./gateway ./placement ./endpointload and go test -race -run 'TestSpeedOfStreams|Standby|Stream|Explain' ./gateway ./placement pass.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -15,7 +15,9 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
 
+	"pumiceshelf/endpointload"
 	"pumiceshelf/placement"
 	"pumiceshelf/registry"
 	"pumiceshelf/routing"
@@ -38,6 +40,9 @@
 	events   *eventReader
 	// peeked is an event that was read before the attempt is relayed, or nil.
 	peeked *peekedEvent
+	// times are those of the events of a stream.
+	times *endpointload.StreamTimes
+	clock clockwork.Clock
 }
 
 // peekedEvent is a result of eventReader.next.
@@ -48,7 +53,7 @@
 
 // newAttempt prepares an attempt at the endpoint of the ticket. It must be closed.
 func (j *job) newAttempt(ticket *placement.Ticket) *attempt {
-	a := &attempt{ticket: ticket}
+	a := &attempt{ticket: ticket, clock: j.gateway.config.Clock}
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	a.ctx, a.cancel = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -68,7 +73,7 @@
 		a.peeked = nil
 		return p.event, p.err
 	}
-	return a.events.next()
+	return a.readEvent()
 }
 
 func (a *attempt) close() {
@@ -356,6 +361,7 @@
 	g.metrics.attempts.Inc(1)
 	g.recordLoadReportAge(ticket.Endpoint)
 	sentAt := g.config.Clock.Now()
+	a.times = endpointload.NewStreamTimes(sentAt)
 	resp, err := g.transport.RoundTrip(a.request)
 	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
 		return j.unresponsiveFailure(ticket)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -124,6 +124,7 @@
 	}
 	control := http.NewResponseController(j.w)
 	resumed, received := j.headerSent, 0
+	defer j.recordStream(a, resumed)
 	for {
 		ev, err := a.nextEvent()
 		if errors.Is(err, io.EOF) && (j.headerSent && received > 0 || isFramed(a.resp)) {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -100,7 +100,7 @@
 	case !streaming:
 		return nil
 	}
-	ev, err := a.events.next()
+	ev, err := a.readEvent()
 	a.peeked = &peekedEvent{event: ev, err: err}
 	if err != nil {
 		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -164,6 +164,7 @@
 	chooser  *Chooser
 	state    *endpointState
 	prefill  *prefill
+	observed observed
 	done     bool
 }
 
@@ -205,7 +206,8 @@
 	}
 	c.limits.Take(s.endpoint, now)
 	s.inflight++
-	t := &Ticket{Endpoint: s.endpoint, chooser: c, state: s, prefill: s.startPrefill(r, now)}
+	t := &Ticket{Endpoint: s.endpoint, chooser: c, state: s, observed: s.observedPrompt(r, now)}
+	t.prefill = s.startPrefill(r, now)
 	return Choice{Ticket: t, EstimatedWait: wait, Limited: c.limits.Limited(s.endpoint)}
 }
 
@@ -324,6 +326,7 @@
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
 	t.state.load, t.state.loadAt = l, now
+	t.observed.waiting = t.observed.waiting || l.Waiting > 0
 	if t.chooser.loads != nil && t.chooser.loads.Wants(endpointload.Report(l)) {
 		t.chooser.loads.Record(t.Endpoint, endpointload.Report(l), now)
 	}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -49,6 +49,7 @@
 	View(e registry.Endpoint, now time.Time) (endpointload.View, bool)
 	Wants(r endpointload.Report) bool
 	Record(e registry.Endpoint, r endpointload.Report, now time.Time)
+	RecordObservation(e registry.Endpoint, o endpointload.Observation, now time.Time)
 }
 
 // isLong reports whether the prefill of the request's prompt would delay the events of streams on the same engine too much.
