Use the learned prefill rate where engines report work times

Cause: prefillTokensPerSecond (55,000) is from earlier engines; the present ones prefill about 34,000 with the steps in between. Change: placement by speed uses the median of the learned rates of a service, at the usual work time, once there is one. The model of placement/speed_test.go plays the deployment as a value and records the times of its streams.

--- a/placement/explain.go
+++ b/placement/explain.go
@@ -127,7 +127,7 @@
 			for _, p := range loaded {
 				byState[p.state] = p
 			}
-			for _, p := range eligible(loaded, r.isLong()) {
+			for _, p := range eligible(loaded, r.isLong(loaded)) {
 				choosable, isEligible[p.state] = append(choosable, p.state), true
 			}
 		}
@@ -161,7 +161,7 @@
 			case !loaded || isEligible[s]:
 			case p.load() >= 1:
 				candidate.Remarks = append(candidate.Remarks, "all slots are taken")
-			case r.isLong():
+			case r.isLong([]engine{p}):
 				candidate.Remarks = append(candidate.Remarks, "too slow for long prompts")
 			default:
 				candidate.Remarks = append(candidate.Remarks, "slow, and faster engines have room")
--- a/placement/learned.go
+++ b/placement/learned.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"pumiceshelf/endpointload"
@@ -49,3 +50,25 @@
 		t.chooser.loads.RecordObservation(t.Endpoint, o, now)
 	}
 }
+
+// prefillTime returns the estimated prefill time of a number of tokens at the usual work time of the engine's service.
+func (e engine) prefillTime(tokens int64) time.Duration {
+	return time.Duration(float64(max(tokens, 0)) / e.rate * float64(time.Second))
+}
+
+// prefillRate returns the prompt tokens per second of the engines at the usual work time: the median of what was learned, or
+// prefillTokensPerSecond. It is one rate for all engines of a service, because their work times tell how they differ, and a choice
+// between an engine with an estimate and one without must not depend on that.
+func prefillRate(engines []engine) float64 {
+	var rates []float64
+	for _, e := range engines {
+		if e.known && e.view.Learned.PrefillRate > 0 {
+			rates = append(rates, e.view.Learned.PrefillRate*e.typical)
+		}
+	}
+	if len(rates) == 0 {
+		return prefillTokensPerSecond
+	}
+	slices.Sort(rates)
+	return rates[(len(rates)-1)/2]
+}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -52,9 +52,10 @@
 	RecordObservation(e registry.Endpoint, o endpointload.Observation, now time.Time)
 }
 
-// isLong reports whether the prefill of the request's prompt would delay the events of streams on the same engine too much.
-func (r Request) isLong() bool {
-	return r.MaxEventGap > 0 && prefillTime(r.PromptTokens) > r.MaxEventGap/longPrefillDivisor
+// isLong reports whether the prefill of the request's prompt, at the rate of the engines, would delay the events of streams on the same
+// engine too much.
+func (r Request) isLong(engines []engine) bool {
+	return r.MaxEventGap > 0 && engines[0].prefillTime(r.PromptTokens) > r.MaxEventGap/longPrefillDivisor
 }
 
 // engine is an endpoint with what is known of its load.
@@ -64,7 +65,9 @@
 	known bool
 	// typical is the typical work time, or that of the service if the engine's is not known.
 	typical float64
-	hash    uint64
+	// rate is the prompt tokens per second of the service's engines at the usual work time.
+	rate float64
+	hash uint64
 }
 
 // load returns the number of requests at the engine, as far as this instance knows, relative to its slots.
@@ -109,6 +112,10 @@
 			out[i].typical = typical[len(typical)/2]
 		}
 	}
+	rate := prefillRate(out)
+	for i := range out {
+		out[i].rate = rate
+	}
 	return out
 }
 
@@ -169,11 +176,11 @@
 		tokens -= sharedTokens
 	}
 	work := e.workTime()
-	wait = time.Duration(float64(e.state.ownBacklog(r.Priority, now)) * work)
+	wait = time.Duration(float64(e.ownBacklog(r.Priority, now)) * work)
 	if crowd := e.load() - crowdedLoad; crowd > 0 {
 		wait += time.Duration(crowd * float64(r.MaxTimeToFirstToken))
 	}
-	return wait + time.Duration(float64(prefillTime(tokens))*work), wait
+	return wait + time.Duration(float64(e.prefillTime(tokens))*work), wait
 }
 
 // chooseEngine returns the engine that the session of the request prefers, or one of a few others that is expected to respond
@@ -200,22 +207,22 @@
 
 // ownBacklog returns the prefill time of this instance's own prompts ahead of a new one of the given priority, at the usual work
 // time.
-func (s *endpointState) ownBacklog(priority int, now time.Time) time.Duration {
+func (e engine) ownBacklog(priority int, now time.Time) time.Duration {
 	tokens, oldest := int64(0), time.Duration(0)
-	for p := range s.prefills {
+	for p := range e.state.prefills {
 		if p.priority <= priority {
 			tokens += p.tokens
 			oldest = max(oldest, now.Sub(p.since))
 		}
 	}
-	return max(prefillTime(tokens), oldest)
+	return max(e.prefillTime(tokens), oldest)
 }
 
 // chooseBySpeed chooses an eligible engine. If the engine would begin too late, inTime is false while the service is overloaded.
 func (c *Chooser) chooseBySpeed(all []engine, r Request, now time.Time) (s *endpointState, wait time.Duration, inTime bool) {
-	engines := eligible(all, r.isLong())
+	engines := eligible(all, r.isLong(all))
 	s, wait = c.chooseEngine(engines, r, now)
-	if r.MaxTimeToFirstToken == 0 || wait <= maxWait(r.MaxTimeToFirstToken, prefillTime(r.PromptTokens)) {
+	if r.MaxTimeToFirstToken == 0 || wait <= maxWait(r.MaxTimeToFirstToken, all[0].prefillTime(r.PromptTokens)) {
 		return s, wait, true
 	}
 	states := make([]*endpointState, len(engines))
--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -13,16 +13,10 @@
 
 const (
 	streamStep      = 5 * time.Millisecond
-	streamChunk     = 1024
-	streamSlots     = 24
 	tokensPerEvent  = 6
 	exchangePeriod  = 500 * time.Millisecond
 	disturbedFactor = 2.5
-	disturbedShare  = 0.15
 	disturbedPeriod = 600 * time.Millisecond
-	shortObjective  = 300 * time.Millisecond
-	longObjective   = 600 * time.Millisecond
-	gapObjective    = 300 * time.Millisecond
 	// warmUp is the time before requests count, in which engines cache the shared parts of prompts.
 	warmUp = 10 * time.Second
 	// maxLateShare is the target for a calm day: 1,500 of 11,187 streams.
@@ -31,18 +25,41 @@
 	maxFirstEventRatio = 130
 )
 
+// streamDeployment is a fleet of engines with its load.
+type streamDeployment struct {
+	engines, slots int
+	// workTimes are the relative work times of a third of the engines each. reportsWorkTime is set if engines report them;
+	// otherwise instances share all reports.
+	workTimes       [3]float64
+	reportsWorkTime bool
+	// disturbedShare is the part of the time in which an engine takes disturbedFactor times as long.
+	disturbedShare float64
+	// chunk is the number of prompt tokens that an engine prefills between two steps.
+	chunk                                       int64
+	longPerSecond, shortPerSecond               float64
+	shortObjective, longObjective, gapObjective time.Duration
+}
+
+// firstDeployment has engines that report work times.
+var firstDeployment = streamDeployment{
+	engines: 90, slots: 24, workTimes: [3]float64{0.7, 0.7, 2.1}, reportsWorkTime: true, disturbedShare: 0.15, chunk: 1024,
+	longPerSecond: 138, shortPerSecond: 178,
+	shortObjective: 300 * time.Millisecond, longObjective: 600 * time.Millisecond, gapObjective: 300 * time.Millisecond,
+}
+
 // streamFleet plays instances that send prompts to engines of different speeds, which prefill them in chunks between the tokens of
 // running streams. Instances see the reports in their own responses and exchange them. It uses no clock or network.
 type streamFleet struct {
+	streamDeployment
 	begin, now time.Time
 	random     *rand.Rand
 	instances  []*streamInstance
-	engines    map[string]*streamEngine
+	byID       map[string]*streamEngine
 	endpoints  []registry.Endpoint
 	// oracle makes each choice with the state of all engines.
 	oracle bool
 	counts map[bool]*streamCounts
-	// sent counts the requests after the first ten seconds, toSlow those sent to engines of three times the work time of the fastest.
+	// sent counts the requests after the first ten seconds, toSlow those sent to the slowest third of the engines.
 	toSlow, sent int
 }
 
@@ -72,20 +89,24 @@
 	sent, lastEvent time.Time
 	tokens, events  int
 	first, gap      time.Duration
+	times           *endpointload.StreamTimes
 }
 
-func newStreamFleet(seed uint64, instances, engineCount int, shared bool) *streamFleet {
+func newStreamFleet(d streamDeployment, seed uint64, instances int, shared bool) *streamFleet {
 	f := &streamFleet{
-		begin: time.Unix(1000, 0), now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)), engines: make(map[string]*streamEngine),
-		counts: map[bool]*streamCounts{false: {}, true: {}},
+		streamDeployment: d, begin: time.Unix(1000, 0), now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)),
+		byID: make(map[string]*streamEngine), counts: map[bool]*streamCounts{false: {}, true: {}},
 	}
-	for i := range engineCount {
+	for i := range d.engines {
 		id := fmt.Sprintf("i-%d", i)
-		f.endpoints = append(f.endpoints, registry.Endpoint{ID: id, Service: "model", Slots: streamSlots})
-		f.engines[id] = &streamEngine{workTime: [3]float64{0.7, 0.7, 2.1}[i%3], factor: 1, cached: make(map[string]bool)}
+		f.endpoints = append(f.endpoints, registry.Endpoint{ID: id, Service: "model", Slots: d.slots})
+		f.byID[id] = &streamEngine{workTime: d.workTimes[i%3], factor: 1, cached: make(map[string]bool)}
 	}
 	for range instances {
 		in := &streamInstance{chooser: placement.New(noLimits()), loads: endpointload.New()}
+		if !d.reportsWorkTime {
+			in.loads = endpointload.New(endpointload.ShareAllReports)
+		}
 		if shared {
 			in.chooser = placement.NewWithLoads(noLimits(), in.loads)
 		}
@@ -96,29 +117,29 @@
 }
 
 // run plays a load and counts the requests that end after warmUp.
-func (f *streamFleet) run(duration time.Duration, longPerSecond, shortPerSecond float64) {
+func (f *streamFleet) run(duration time.Duration) {
 	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(streamStep) {
 		elapsed := f.now.Sub(f.begin)
 		if elapsed%exchangePeriod == 0 {
 			f.exchange()
 		}
 		for _, long := range []bool{true, false} {
-			rate := shortPerSecond
+			rate := f.shortPerSecond
 			if long {
-				rate = longPerSecond
+				rate = f.longPerSecond
 			}
 			for at := f.random.ExpFloat64(); at < rate*streamStep.Seconds(); at += f.random.ExpFloat64() {
 				f.arrive(long)
 			}
 		}
 		for _, e := range f.endpoints {
-			if engine := f.engines[e.ID]; elapsed%disturbedPeriod == 0 {
+			if engine := f.byID[e.ID]; elapsed%disturbedPeriod == 0 {
 				engine.factor = 1
-				if f.random.Float64() < disturbedShare {
+				if f.random.Float64() < f.disturbedShare {
 					engine.factor = disturbedFactor
 				}
 			}
-			f.advance(f.engines[e.ID])
+			f.advance(f.byID[e.ID])
 		}
 	}
 }
@@ -139,12 +160,12 @@
 func (f *streamFleet) arrive(long bool) {
 	own, session := int64(100+f.random.ExpFloat64()*530), fmt.Sprintf("short-%d", f.random.IntN(1300))
 	r := placement.Request{
-		Service: "model", MaxTimeToFirstToken: shortObjective, MaxEventGap: gapObjective,
+		Service: "model", MaxTimeToFirstToken: f.shortObjective, MaxEventGap: f.gapObjective,
 		PromptParts: []placement.PromptPart{{ID: "tool-short", Tokens: 119}, {ID: session, Tokens: 79}, {ID: "own", Tokens: own}}, PromptTokens: 198 + own,
 	}
 	if long {
 		own, session = int64(200+f.random.ExpFloat64()*2700), fmt.Sprintf("long-%d", f.random.IntN(1500))
-		r.MaxTimeToFirstToken, r.PromptTokens = longObjective, 6300+own
+		r.MaxTimeToFirstToken, r.PromptTokens = f.longObjective, 6300+own
 		r.PromptParts = []placement.PromptPart{{ID: "tool", Tokens: 2520}, {ID: session, Tokens: 3780}, {ID: "own", Tokens: own}}
 	}
 	in := f.instances[f.random.IntN(len(f.instances))]
@@ -159,14 +180,14 @@
 		f.counts[long].late++
 		return
 	}
-	e := f.engines[ticket.Endpoint.ID]
+	e := f.byID[ticket.Endpoint.ID]
 	if f.counted() {
 		f.sent++
-		if e.workTime > 2 {
+		if e.workTime == f.workTimes[2] {
 			f.toSlow++
 		}
 	}
-	e.prefill = append(e.prefill, &playedStream{request: r, ticket: ticket, tokensLeft: e.uncached(r), sent: f.now})
+	e.prefill = append(e.prefill, &playedStream{request: r, ticket: ticket, tokensLeft: e.uncached(r), sent: f.now, times: endpointload.NewStreamTimes(f.now)})
 	for _, p := range r.PromptParts[:2] {
 		e.cached[p.ID] = true
 	}
@@ -186,7 +207,7 @@
 func (f *streamFleet) best(r placement.Request) (index int) {
 	least := -1.0
 	for i, e := range f.endpoints {
-		engine := f.engines[e.ID]
+		engine := f.byID[e.ID]
 		tokens := engine.uncached(r)
 		for _, s := range engine.prefill {
 			tokens += s.tokensLeft
@@ -202,12 +223,12 @@
 func (f *streamFleet) advance(e *streamEngine) {
 	e.owed += float64(streamStep.Milliseconds()) / (e.workTime * e.factor)
 	for e.owed > 0 && len(e.prefill)+len(e.running) > 0 {
-		if e.decode = !e.decode || len(e.prefill) == 0 || len(e.running) >= streamSlots; e.decode {
+		if e.decode = !e.decode || len(e.prefill) == 0 || len(e.running) >= f.slots; e.decode {
 			f.decodeToken(e)
 			continue
 		}
 		s := e.prefill[0]
-		chunk := min(s.tokensLeft, streamChunk)
+		chunk := min(s.tokensLeft, f.chunk)
 		e.owed -= float64(chunk) / 40.8
 		if s.tokensLeft -= chunk; s.tokensLeft <= 0 {
 			e.prefill, e.running = e.prefill[1:], append(e.running, s)
@@ -234,12 +255,13 @@
 			still = append(still, s)
 			continue
 		}
+		s.ticket.RecordStream(s.times, false, f.now)
 		s.ticket.Done(placement.Served, f.now)
 		if f.counted() {
 			c := f.counts[s.request.PromptTokens >= 6300]
 			c.requests++
 			c.first += s.first
-			if s.first > s.request.MaxTimeToFirstToken || s.gap > gapObjective {
+			if s.first > s.request.MaxTimeToFirstToken || s.gap > f.gapObjective {
 				c.late++
 			}
 		}
@@ -249,11 +271,16 @@
 
 // event returns an event to the caller, the first one with the engine's report.
 func (f *streamFleet) event(e *streamEngine, s *playedStream) {
+	workTime := e.workTime * e.factor
+	if !f.reportsWorkTime {
+		workTime = 0
+	}
+	s.times.Event(s.lastEvent, f.now)
 	if s.events++; s.events == 1 {
 		s.first = f.now.Sub(s.sent)
 		s.ticket.RecordProgress(f.now)
 		s.ticket.RecordLoad(placement.Load{
-			Running: len(e.running), Waiting: len(e.prefill), Slots: streamSlots, WorkTime: e.workTime * e.factor,
+			Running: len(e.running), Waiting: len(e.prefill), Slots: f.slots, WorkTime: workTime,
 		}, f.now)
 	} else {
 		s.gap = max(s.gap, f.now.Sub(s.lastEvent))
@@ -281,9 +308,9 @@
 	for _, instances := range []int{8, 90, 195} {
 		t.Run(fmt.Sprintf("%d_instances", instances), func(t *testing.T) {
 			play := func(shared, oracle bool) *streamFleet {
-				f := newStreamFleet(1, instances, 90, shared)
+				f := newStreamFleet(firstDeployment, 1, instances, shared)
 				f.oracle = oracle
-				f.run(25*time.Second, 138, 178)
+				f.run(25 * time.Second)
 				return f
 			}
 			before, after, best := play(false, false), play(true, false), play(false, true)
