Give slower engines fewer sessions where no work time is reported

Cause: engines that report no work time got the same load whether fast or slow, in a deployment that shares their load reports. Change: once the time between events is known of half of a service's engines, sessions prefer an engine in inverse proportion to it, and engines of more than 1.5 times the time of the fastest quarter get none while the faster ones take less than 0.65 of their slots. Backlogs use the learned prefill rate. Full engines are not left out of the choice. Nothing changes where reports are not shared or speeds are not known. Explain names engines that are left out.

--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -40,7 +40,7 @@
 	if preferred == nil {
 		preferred = rendezvous(usable, session, func(*endpointState) bool { return true })
 	}
-	ownPrefill := prefillTime(r.PromptTokens - sharedTokens)
+	ownPrefill := preferred.prefillTime(r.PromptTokens - sharedTokens)
 	wait = preferred.backlog(r.Priority, now)
 	if r.MaxTimeToFirstToken == 0 || wait <= maxWait(r.MaxTimeToFirstToken, ownPrefill) {
 		return preferred, wait, true
@@ -50,7 +50,7 @@
 	}
 	// Repeating the prefill of the shared parts costs little while backlogs are short.
 	other := rendezvous(usable, session, func(s *endpointState) bool {
-		return withinBound(s) && s.backlog(r.Priority, now) <= maxWait(r.MaxTimeToFirstToken, prefillTime(r.PromptTokens))/2
+		return withinBound(s) && s.backlog(r.Priority, now) <= maxWait(r.MaxTimeToFirstToken, s.prefillTime(r.PromptTokens))/2
 	})
 	if other != nil {
 		return other, other.backlog(r.Priority, now), true
@@ -98,7 +98,7 @@
 		if !allowed(s) {
 			continue
 		}
-		if score := xxhash.Sum64String(part + "\x00" + s.endpoint.ID); best == nil || score > bestScore {
+		if score := s.learned.weight(xxhash.Sum64String(part + "\x00" + s.endpoint.ID)); best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -116,7 +116,7 @@
 			oldest = max(oldest, now.Sub(p.since))
 		}
 	}
-	wait := time.Duration(float64(prefillTime(tokens)) * s.requestMultiplier(now))
+	wait := time.Duration(float64(s.prefillTime(tokens)) * s.requestMultiplier(now))
 	if now.Sub(s.loadAt) < loadReportTTL {
 		wait += time.Duration(s.load.Running) * runningStreamDelay
 	}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -120,9 +120,10 @@
 	var preferred *endpointState
 	bound, byState, isEligible := 0.0, make(map[*endpointState]engine), make(map[*endpointState]bool)
 	if session != "" && len(usable) > 0 {
-		bound = loadBound(usable)
-		choosable := usable
-		if loaded := c.withLoads(usable, now); loaded != nil {
+		loaded := c.withLoads(usable, now)
+		choosable := inUse(usable)
+		bound = loadBound(choosable)
+		if loaded != nil {
 			choosable = nil
 			for _, p := range loaded {
 				byState[p.state] = p
@@ -150,7 +151,7 @@
 				candidate.Remarks = append(candidate.Remarks, "has the shared parts of the prompt from this instance")
 			}
 			p, loaded := byState[s]
-			candidate.ExpectedFirstEvent = s.backlog(r.Priority, now) + prefillTime(uncached)
+			candidate.ExpectedFirstEvent = s.backlog(r.Priority, now) + s.prefillTime(uncached)
 			if loaded {
 				candidate.ExpectedFirstEvent, _ = p.expected(r, s == preferred, now)
 			}
@@ -158,6 +159,8 @@
 				candidate.Remarks = append(candidate.Remarks, "preferred by the session")
 			}
 			switch {
+			case s.learned.spared:
+				candidate.Remarks = append(candidate.Remarks, "slow, and faster engines have room")
 			case !loaded || isEligible[s]:
 			case p.load() >= 1:
 				candidate.Remarks = append(candidate.Remarks, "all slots are taken")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -197,7 +197,7 @@
 	case withLoads != nil:
 		s, wait, inTime = c.chooseBySpeed(withLoads, r, now)
 	case len(r.PromptParts) > 0:
-		s, wait, inTime = chooseByAffinity(usable, r, now)
+		s, wait, inTime = chooseByAffinity(inUse(usable), r, now)
 	default:
 		s = leastLoaded(usable, r.Domain, now)
 	}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -89,7 +89,8 @@
 	return e.typical
 }
 
-// withLoads returns the endpoints with what is known of their load, or nil if none of them reports a work time.
+// withLoads returns the endpoints with what is known of their load, or nil if none of them reports a work time. It then sets the learned
+// speeds of the endpoints.
 func (c *Chooser) withLoads(usable []*endpointState, now time.Time) []engine {
 	if c.loads == nil {
 		return nil
@@ -97,6 +98,7 @@
 	out := make([]engine, 0, len(usable))
 	var typical []float64
 	for _, s := range usable {
+		s.learned = learnedSpeed{}
 		v, known := c.loads.View(s.endpoint, now)
 		if known && v.TypicalWorkTime > 0 {
 			typical = append(typical, v.TypicalWorkTime)
@@ -104,6 +106,7 @@
 		out = append(out, engine{state: s, view: v, known: known, typical: v.TypicalWorkTime, hash: xxhash.Sum64String(s.endpoint.ID)})
 	}
 	if len(typical) == 0 {
+		learnSpeeds(out)
 		return nil
 	}
 	slices.Sort(typical)
--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -40,12 +40,18 @@
 	shortObjective, longObjective, gapObjective time.Duration
 }
 
-// firstDeployment has engines that report work times.
-var firstDeployment = streamDeployment{
-	engines: 90, slots: 24, workTimes: [3]float64{0.7, 0.7, 2.1}, reportsWorkTime: true, disturbedShare: 0.15, chunk: 1024,
-	longPerSecond: 138, shortPerSecond: 178,
-	shortObjective: 300 * time.Millisecond, longObjective: 600 * time.Millisecond, gapObjective: 300 * time.Millisecond,
-}
+// firstDeployment has engines that report work times, and secondDeployment engines that do not.
+var (
+	firstDeployment = streamDeployment{
+		engines: 90, slots: 24, workTimes: [3]float64{0.7, 0.7, 2.1}, reportsWorkTime: true, disturbedShare: 0.15, chunk: 1024,
+		longPerSecond: 138, shortPerSecond: 178,
+		shortObjective: 300 * time.Millisecond, longObjective: 600 * time.Millisecond, gapObjective: 300 * time.Millisecond,
+	}
+	secondDeployment = streamDeployment{
+		engines: 140, slots: 12, workTimes: [3]float64{1, 1, 1.3}, chunk: 2048, longPerSecond: 195, shortPerSecond: 273,
+		shortObjective: 400 * time.Millisecond, longObjective: 1200 * time.Millisecond, gapObjective: 500 * time.Millisecond,
+	}
+)
 
 // streamFleet plays instances that send prompts to engines of different speeds, which prefill them in chunks between the tokens of
 // running streams. Instances see the reports in their own responses and exchange them. It uses no clock or network.
@@ -59,7 +65,7 @@
 	// oracle makes each choice with the state of all engines.
 	oracle bool
 	counts map[bool]*streamCounts
-	// sent counts the requests after the first ten seconds, toSlow those sent to the slowest third of the engines.
+	// sent counts the requests after the first ten seconds, toSlow those sent to the last third of the engines, which are the slowest.
 	toSlow, sent int
 }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -50,6 +50,8 @@
 	rejectedUntil time.Time
 	load          Load
 	loadAt        time.Time
+	// learned is the speed that the last choice used.
+	learned learnedSpeed
 	// lostConnectionAt is when a connection to the endpoint last failed.
 	lostConnectionAt time.Time
 	// endedAt is when the endpoint was found to have ended. Losses up to refutedAt were found to be no sign of that.
