--- a/placement/learned.go
+++ b/placement/learned.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -109,10 +108,10 @@
 		if times[i] > 0 {
 			engines[i].typical = max(math.Round(times[i]/learnedPrecision)*learnedPrecision, learnedPrecision)
 		}
+		times[i] = engines[i].typical
 	}
-	ordered := slices.Clone(engines)
-	slices.SortFunc(ordered, func(a, b engine) int { return cmp.Compare(a.typical, b.typical) })
-	limit, load, reports := slowFactor*ordered[len(ordered)/fastQuantile].typical, 0.0, 0
+	slices.Sort(times)
+	limit, load, reports := slowFactor*times[len(times)/fastQuantile], 0.0, 0
 	for _, e := range engines {
 		if e.typical <= limit && e.known && e.view.Fresh() {
 			load += e.load()
