Spread requests over the engines of a crowded service

Cause: while few engines had free slots by their last reports, all instances sent what came until the next reports to those engines. At 90 instances, engines had queues of 25 to 47 requests while others had up to ten free slots, which changed every second or two, and requests were refused although a tenth of the slots were free.

Change: if the engines that a request may go to have 0.65 of their slots taken on average, each gets requests at random, as many as it completes, and more or fewer by how much shorter or longer its queue takes. A session prefers an engine only where the shared prompt parts save a twentieth of the time in a slot, and only up to the engine's part.

--- a/placement/explain.go
+++ b/placement/explain.go
@@ -77,7 +77,8 @@
 	out := &Chooser{
 		states: make(map[string]*endpointState, len(endpoints)), notices: c.notices, domains: c.domains,
 		rejectionLimits: maps.Clone(c.rejectionLimits), limits: readOnlyLimits{c.limits},
-		loads: c.loads, intN: c.intN, losses: lossSignal{channel: make(chan struct{}, 1), sequence: c.losses.sequence},
+		loads: c.loads, intN: c.intN, serviceTimes: c.serviceTimes,
+		losses: lossSignal{channel: make(chan struct{}, 1), sequence: c.losses.sequence},
 	}
 	session, _ := r.sessionPart()
 	for _, e := range endpoints {
@@ -127,7 +128,8 @@
 			for _, p := range loaded {
 				byState[p.state] = p
 			}
-			for _, p := range eligible(loaded, r.isLong()) {
+			chosen, _ := eligible(loaded, r.isLong())
+			for _, p := range chosen {
 				choosable, isEligible[p.state] = append(choosable, p.state), true
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -144,6 +144,8 @@
 	// intN returns a random number in [0, n). Tests replace it to repeat a run.
 	intN   func(n int) int
 	losses lossSignal
+	// serviceTimes holds the mean time of a stream in a slot, at the usual work time, by service.
+	serviceTimes map[string]time.Duration
 }
 
 // New returns a Chooser without any recorded state.
@@ -155,6 +157,7 @@
 		loads: loads, intN: rand.IntN,
 		states: make(map[string]*endpointState), notices: make(map[string]*notice), domains: make(map[string]*domainState),
 		rejectionLimits: make(map[string]rejectionLimit), limits: l, losses: newLossSignal(),
+		serviceTimes: make(map[string]time.Duration),
 	}
 }
 
@@ -164,7 +167,9 @@
 	chooser  *Chooser
 	state    *endpointState
 	prefill  *prefill
-	done     bool
+	// firstEventAt is when the first event came.
+	firstEventAt time.Time
+	done         bool
 }
 
 // Pick chooses one of the given endpoints, excluding those whose IDs are in tried.
@@ -299,6 +304,9 @@
 	t.chooser.mu.Lock()
 	defer t.chooser.mu.Unlock()
 	t.state.recordResponse(now)
+	if t.prefill != nil {
+		t.firstEventAt = now
+	}
 	t.state.finishPrefill(t.prefill)
 	t.prefill = nil
 }
@@ -340,6 +348,9 @@
 	t.done = true
 	t.state.inflight--
 	t.state.finishPrefill(t.prefill)
+	if r == Served && !t.firstEventAt.IsZero() {
+		t.chooser.recordServiceTime(t.Endpoint, now.Sub(t.firstEventAt), now)
+	}
 	until := t.state.recordResult(r, now)
 	if r == Busy {
 		t.chooser.recordRejection(t.state, now)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -112,8 +112,9 @@
 }
 
 // eligible returns the engines for a request: the fast ones, and for short prompts as many of the slow ones as the requests of all
-// instances need. All instances order the engines in the same way. If no eligible engine has room, it returns all that have.
-func eligible(all []engine, long bool) []engine {
+// instances need. All instances order the engines in the same way. If no eligible engine has room, it returns all that have. crowded
+// is set if so few slots are free that the requests must be spread over all engines returned (balance.go).
+func eligible(all []engine, long bool) (engines []engine, crowded bool) {
 	ordered := slices.Clone(all)
 	slices.SortFunc(ordered, func(a, b engine) int {
 		return cmp.Or(cmp.Compare(math.Round(a.typical/typicalPrecision), math.Round(b.typical/typicalPrecision)), cmp.Compare(a.hash, b.hash))
@@ -129,10 +130,22 @@
 	if !long {
 		used = min(max(fast, enginesNeeded(ordered)), len(ordered))
 	}
-	if free := withRoom(ordered[:used]); free[0].load() < 1 {
-		return free
+	group := ordered[:used]
+	if withRoom(group)[0].load() >= 1 {
+		group = all
 	}
-	return withRoom(all)
+	if crowded = meanLoad(group) >= slotUtilization; crowded {
+		return group, true
+	}
+	return withRoom(group), false
+}
+
+// meanLoad returns the mean load of the engines.
+func meanLoad(engines []engine) (mean float64) {
+	for _, e := range engines {
+		mean += e.load() / float64(len(engines))
+	}
+	return mean
 }
 
 // enginesNeeded returns the number of engines for which the requests in progress take slotUtilization of the slots.
@@ -212,8 +225,14 @@
 
 // chooseBySpeed chooses an eligible engine. If the engine would begin too late, inTime is false while the service is overloaded.
 func (c *Chooser) chooseBySpeed(all []engine, r Request, now time.Time) (s *endpointState, wait time.Duration, inTime bool) {
-	engines := eligible(all, r.isLong())
-	s, wait = c.chooseEngine(engines, r, now)
+	engines, crowded := eligible(all, r.isLong())
+	if crowded {
+		e := c.chooseBalanced(spread(engines, c.serviceTime(r.Service)), r)
+		s = e.state
+		_, wait = e.expected(r, false, now)
+	} else {
+		s, wait = c.chooseEngine(engines, r, now)
+	}
 	if r.MaxTimeToFirstToken == 0 || wait <= maxWait(r.MaxTimeToFirstToken, prefillTime(r.PromptTokens)) {
 		return s, wait, true
 	}
--- a/placement/state.go
+++ b/placement/state.go
@@ -33,6 +33,8 @@
 type endpointState struct {
 	endpoint registry.Endpoint
 	inflight int
+	// preferred is the decayed number of requests of which the session prefers the endpoint, while its service is crowded.
+	preferred float64
 	// prefills are the prompts sent to the endpoint that have not returned a first token yet.
 	prefills map[*prefill]bool
 	// cachedSessions maps the session parts of the prompts that this instance sent to the endpoint to the time of their
