Probe endpoints that load shedding leaves out as out of reach

Cause: an endpoint out of reach does not count as capacity until a response from its failure domain. After a partition, it may be ejected for up to 4 s, and requests that are refused try nothing, so that refusals could last longer than 3 s after there was capacity again.

Change: while a decision leaves endpoints out, one of each of their failure domains is connected to every 300 ms. If that succeeds, the domain counts again, and its endpoints that were ejected get requests.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"pumiceshelf/reach"
+	"pumiceshelf/registry"
 )
 
 const (
@@ -148,7 +149,8 @@
 	logger.WithField("ms", c.Lasted.Milliseconds()).Info("gateway: service is in reach again")
 }
 
-// RunProbing connects to the endpoints of services that are out of reach, until the context ends.
+// RunProbing connects to the endpoints of services that are out of reach, and to those that load shedding leaves out because they
+// are, until the context ends.
 func (g *Gateway) RunProbing(ctx context.Context) error {
 	for {
 		select {
@@ -160,6 +162,11 @@
 		for _, service := range g.reach.Lost() {
 			probes.Go(func() { g.probe(ctx, service) })
 		}
+		if s := g.shedding; s != nil {
+			for _, e := range s.nextUnreached(g.config.Clock.Now()) {
+				probes.Go(func() { s.probeUnreached(ctx, e) })
+			}
+		}
 		probes.Wait()
 	}
 }
@@ -172,19 +179,28 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := g.config.Dial(ctx, "tcp", e.Address)
+	connected := g.connects(ctx, e)
 	now = g.config.Clock.Now()
-	if err != nil {
+	if !connected {
 		g.reach.Failed(e, now)
 		g.reach.OutOfReach(service, listed, now)
 		return
 	}
-	_ = conn.Close()
 	g.reach.Connected(e, now)
 }
 
+// connects reports whether this instance can connect to an endpoint.
+func (g *Gateway) connects(ctx context.Context, e registry.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := g.config.Dial(ctx, "tcp", e.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // outOfReach reports whether the request's service is out of reach.
 func (j *job) outOfReach() bool {
 	now := j.gateway.config.Clock.Now()
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -93,6 +93,8 @@
 	lines, omitted int
 	second         time.Time
 	summarized     map[string]time.Time
+	// unreached holds the endpoints that were left out of the capacity of a service because they were out of reach, by service.
+	unreached map[string]unreachedEndpoints
 }
 
 // sharedRoom is the room of a service at a time.
@@ -105,6 +107,7 @@
 	return &shedding{
 		gateway: g, shedder: shed.New(shed.Config{}), metrics: newShedMetrics(g.config.Metrics),
 		refused: make(map[string]time.Time), rejections: make(map[string]rejection), summarized: make(map[string]time.Time),
+		unreached: make(map[string]unreachedEndpoints),
 	}
 }
 
@@ -240,10 +243,15 @@
 // engine, reports seldom, so that the full ones must not stand for it. They do for those that have made no report.
 func (s *shedding) sumRoom(endpoints []registry.Endpoint, engines bool, now time.Time) shed.Room {
 	var room shed.Room
+	var unreached []registry.Endpoint
 	fresh, counted := 0, 0
 	var age time.Duration
 	for _, e := range endpoints {
-		if e.Draining || s.gateway.config.Chooser.OutOfReach(e) {
+		if e.Draining {
+			continue
+		}
+		if s.gateway.config.Chooser.OutOfReach(e) {
+			unreached = append(unreached, e)
 			continue
 		}
 		room.Endpoints++
@@ -275,6 +283,7 @@
 	room.WorkTime /= float64(counted)
 	room.Age = age / time.Duration(fresh)
 	room.Known = true
+	s.recordUnreached(unreached, now)
 	return room
 }
 
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -33,6 +33,39 @@
 	return d != nil && (d.unreachableEndpoints[e.ID] || len(d.unreachableEndpoints) >= partitionThreshold)
 }
 
+// Reached records that this instance could connect to an endpoint again. Endpoints of its failure domain that were ejected because they
+// could not be reached get requests again.
+func (c *Chooser) Reached(e registry.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.domains[e.Domain]
+	if d == nil {
+		return
+	}
+	if len(d.unreachableEndpoints) < partitionThreshold {
+		c.endEjection(e.ID)
+		delete(d.unreachableEndpoints, e.ID)
+		return
+	}
+	for id := range d.unreachableEndpoints {
+		c.endEjection(id)
+	}
+	d.clear()
+}
+
+// endEjection lets an endpoint get requests again that was ejected for another reason than silence. Its failures were those of the path.
+func (c *Chooser) endEjection(id string) {
+	if s := c.states[id]; s != nil && !s.silent {
+		s.ejections, s.ejectedUntil, s.failureAvg = 0, time.Time{}, 0
+	}
+}
+
+// clear records that the domain can be reached.
+func (d *domainState) clear() {
+	clear(d.unreachableEndpoints)
+	d.skipUntil = time.Time{}
+}
+
 // updateDomain applies the result of a request to the state of its endpoint's failure domain.
 func (c *Chooser) updateDomain(e registry.Endpoint, r Result, now time.Time) {
 	d := c.domains[e.Domain]
@@ -47,8 +80,7 @@
 			d.skipUntil = now.Add(partitionPause)
 		}
 	case Served, Errored, Busy:
-		clear(d.unreachableEndpoints)
-		d.skipUntil = time.Time{}
+		d.clear()
 	case InvalidResponse, Unresponsive, Canceled:
 	}
 }
