Size leases near the end of a budget by a steadier rate and by the share of use

Cause: a lease near the end of a budget covers what exceeds 15 s of use. The rate was the larger of two averages over 1.4 s and 5 s, and the share that of the tokens leased, at least an even one. A holder with one request in two seconds had between 0 and 30 s of use, and a holder with more traffic than others less than these, because a larger lease led to a larger share. Change: for instances that allocate to others, the rate is an average over 15 s and the share is that of what was used since the start.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -59,6 +59,10 @@
 	rateBaseline  int64
 	// longRatePerSecond is the same average over a longer time.
 	longRatePerSecond float64
+	steadyRate        steadyRate
+	// committedAtStart is what the ledger had committed when this instance first read it, ledgerSeen whether it has.
+	committedAtStart int64
+	ledgerSeen       bool
 	// passedOn is the part of used that was passed on to other instances. ownRatePerSecond is the moving average of the tokens
 	// that this instance's requests use per second, and ownRateBaseline the value of used without passedOn at its last update.
 	passedOn         int64
@@ -306,15 +310,18 @@
 type demand struct {
 	limit, used, borrowed int64
 	// waiting is the sum of the tokens that waiters need.
-	waiting                          int64
-	ratePerSecond, longRatePerSecond float64
+	waiting                                               int64
+	ratePerSecond, longRatePerSecond, steadyRatePerSecond float64
 }
 
 // demand returns the current state for the next update of the ledger.
 func (a *account) demand() demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := demand{limit: a.limit, used: a.used, borrowed: a.borrowed, ratePerSecond: a.ratePerSecond, longRatePerSecond: a.longRatePerSecond}
+	d := demand{
+		limit: a.limit, used: a.used, borrowed: a.borrowed,
+		ratePerSecond: a.ratePerSecond, longRatePerSecond: a.longRatePerSecond, steadyRatePerSecond: a.steadyRate.perSecond,
+	}
 	for e := a.waiters.Front(); e != nil; e = e.Next() {
 		d.waiting += e.Value.(*waiter).tokens
 	}
@@ -334,6 +341,7 @@
 	own := a.used - a.passedOn
 	a.ratePerSecond = average(a.ratePerSecond, rateWeight, a.used-a.rateBaseline)
 	a.longRatePerSecond = average(a.longRatePerSecond, longRateWeight, a.used-a.rateBaseline)
+	a.steadyRate.add(float64(a.used-a.rateBaseline) / elapsed.Seconds())
 	a.ownRatePerSecond = average(a.ownRatePerSecond, longRateWeight, own-a.ownRateBaseline)
 	a.ownRequestsPerSecond = average(a.ownRequestsPerSecond, longRateWeight, a.ownRequests.Swap(0))
 	a.rateBaseline, a.ownRateBaseline = a.used, own
--- a/prepaid/manager_test.go
+++ b/prepaid/manager_test.go
@@ -192,8 +192,8 @@
 			{"idle instances lease few tokens", demand{}, 1_000_000, 0.5, false, 20_000},
 			{"the lease of a busy instance lasts through an outage", demand{ratePerSecond: 1_000, longRatePerSecond: 1_000}, 1_000_000, 0.5, false, 14_000 + 6_000},
 			{"near the end of the budget, a lease is bounded by leaseShare", demand{ratePerSecond: 10_000, longRatePerSecond: 10_000}, 10_000, 0.5, false, 1_750},
-			{"a lease for others may use up what is left beyond recoveryHorizon", demand{ratePerSecond: 20_000, longRatePerSecond: 20_000}, 1_000_000, 0.5, true, 200_000},
-			{"if the budget lasts less long, a lease for others is at most crashShare of the prepaid total", demand{ratePerSecond: 20_000, longRatePerSecond: 20_000}, 560_000, 0.5, true, 10_000},
+			{"a lease for others may use up what is left beyond recoveryHorizon", demand{ratePerSecond: 20_000, longRatePerSecond: 20_000, steadyRatePerSecond: 20_000}, 1_000_000, 0.5, true, 200_000},
+			{"if the budget lasts less long, a lease for others is at most crashShare of the prepaid total", demand{ratePerSecond: 20_000, longRatePerSecond: 20_000, steadyRatePerSecond: 20_000}, 560_000, 0.5, true, 10_000},
 			{"a lease follows a rate that rises no faster than maxRateRatio", demand{ratePerSecond: 5_000, longRatePerSecond: 1_000}, 1_000_000, 0.5, false, 28_000},
 			{"an instance's lease for its own requests is bounded by leaseShare only", demand{ratePerSecond: 20_000, longRatePerSecond: 20_000}, 600_000, 0.5, false, 105_000},
 			{"a lease smaller than minLease is not acquired in advance", demand{ratePerSecond: 10_000, longRatePerSecond: 10_000}, 2_000, 0.5, false, 0},
@@ -202,7 +202,7 @@
 			{"a lease of a suitable size stays unchanged", demand{limit: 20_000, used: 1_000}, 1_000_000, 0.5, false, 20_000},
 			{"surplus tokens are released", demand{limit: 100_000, used: 1_000}, 1_000_000, 0.5, false, 21_000},
 		} {
-			SoMsg(c.name, nextLimit(c.d, budget{prepaid: 1_000_000, remaining: c.remaining, share: c.share, allocates: c.allocates}, refillFraction, aheadWithIdle), ShouldEqual, c.want)
+			SoMsg(c.name, nextLimit(c.d, budget{prepaid: 1_000_000, remaining: c.remaining, share: c.share, leasedShare: c.share, allocates: c.allocates}, refillFraction, aheadWithIdle), ShouldEqual, c.want)
 		}
 		So(nextLimit(demand{}, budget{prepaid: 1_000_000, remaining: 1_000_000, share: 0.5}, refillFraction, aheadByRate), ShouldEqual, 0)
 		So(nextLimit(demand{ratePerSecond: 1_000, longRatePerSecond: 1_000}, budget{prepaid: 1_000_000, remaining: 1_000_000, share: 0.5}, refillFraction, aheadNone), ShouldEqual, 0)
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -77,6 +77,8 @@
 	prepaid, remaining int64
 	// share is this instance's fraction of the customer's traffic.
 	share float64
+	// leasedShare is its fraction of the leased tokens, at least an even one.
+	leasedShare float64
 	// allocates is set if this instance leases tokens for others.
 	allocates bool
 	// rations is set if tokens that do not last for all requests are kept for urgent ones.
@@ -130,7 +132,7 @@
 	size := max(rate*horizon.Seconds(), ahead.idleShare()*ownShare)
 	if b.allocates {
 		own := ownShare + float64(d.limit-d.used)
-		most := max(own-rate*recoveryHorizon.Seconds(), crashShare*b.share*float64(b.prepaid))
+		most := max(own-d.recoveryRate()*recoveryHorizon.Seconds(), crashShare*min(b.share, b.leasedShare)*float64(b.prepaid))
 		if b.rations {
 			most = max(most, leaseShare*own)
 		}
--- a/prepaid/ration_test.go
+++ b/prepaid/ration_test.go
@@ -66,7 +66,7 @@
 	})
 	Convey("without rationing, leases and refusals do not depend on ranks", t, func() {
 		b := budget{prepaid: 4_500_000, remaining: 2_000_000, share: 1, allocates: true}
-		d := demand{ratePerSecond: 100_000, longRatePerSecond: 100_000}
+		d := demand{ratePerSecond: 100_000, longRatePerSecond: 100_000, steadyRatePerSecond: 100_000}
 		So(b.targetSize(d, aheadByRate), ShouldEqual, 500_000)
 		b.rations = true
 		So(b.targetSize(d, aheadByRate), ShouldEqual, 700_000)
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -156,9 +156,16 @@
 	if m.config.ReduceParked && ahead != aheadWithIdle {
 		holders *= standInShares
 	}
-	share := trafficShare(d.limit, committed, holders)
-	limit := nextLimit(d, budget{prepaid: prepaid, remaining: max(prepaid-committed, 0), share: share, allocates: m.allocates(), rations: m.rations()}, fillThreshold, ahead)
-	m.account(customer).setShare(share)
+	leasedShare := trafficShare(d.limit, committed, holders)
+	a.setShare(leasedShare)
+	b := budget{
+		prepaid: prepaid, remaining: max(prepaid-committed, 0), share: leasedShare, leasedShare: leasedShare,
+		allocates: m.allocates(), rations: m.rations(),
+	}
+	if sinceStart := a.committedSinceStart(committed); b.allocates {
+		b.share = useShare(d, sinceStart, int64(crashShare*float64(prepaid)), holders)
+	}
+	limit := nextLimit(d, b, fillThreshold, ahead)
 	if m.restorePaused() {
 		limit = min(limit, d.limit)
 	}
