Count requests without tokens by cause in the emulation of rationing

Cause: it was not known why requests are refused in an outage or a partition although the customer's budget has tokens left elsewhere. Change: an allocation says whether a token holder responded, and the metric prepaid.reserve.unreachable counts refusals without. Two assertions of members also require the new field.

--- a/members/abandon_test.go
+++ b/members/abandon_test.go
@@ -55,7 +55,7 @@
 			}
 			return conn, err
 		}
-		So(borrower.RequestAllocation(t.Context(), "alwusta", 0, 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true})
+		So(borrower.RequestAllocation(t.Context(), "alwusta", 0, 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true, Unreachable: true})
 		So(lent, ShouldHaveLength, 1)
 
 		Convey("the token holder takes the tokens back", func() {
--- a/members/lending.go
+++ b/members/lending.go
@@ -64,7 +64,7 @@
 // RequestAllocation requests the tokens that a request needs, up to the wanted number, from the token holder of this
 // failure domain. It queries the next instance in order only if one is unresponsive or cannot reach the ledger.
 func (m *Members) RequestAllocation(ctx context.Context, customer string, rank int, needed, wanted int64) prepaid.Allocation {
-	now, queried := m.config.Clock.Now(), 0
+	now, queried, responded := m.config.Clock.Now(), 0, false
 	for _, address := range m.roster.Load().holdersBefore {
 		if queried == maxHoldersQueried || ctx.Err() != nil {
 			break
@@ -82,9 +82,11 @@
 			m.config.Log.WithField("address", address).WithError(err).Info("members: token holder of the domain is unresponsive")
 		case !reply.Away:
 			return prepaid.Allocation{Tokens: min(max(reply.Tokens, 0), wanted), Exhausted: reply.Exhausted, Rationed: reply.Rationed}
+		default:
+			responded = true
 		}
 	}
-	return prepaid.Allocation{StoreUnavailable: true}
+	return prepaid.Allocation{StoreUnavailable: true, Unreachable: !responded && ctx.Err() == nil}
 }
 
 // Borrow requests tokens of a customer's budget from a few instances in turn, until it has the given number. It returns
--- a/members/lending_test.go
+++ b/members/lending_test.go
@@ -188,7 +188,7 @@
 			return nil, context.DeadlineExceeded
 		}
 		for range len(a) {
-			So(isolated.RequestAllocation(t.Context(), "alwusta", 0, 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true})
+			So(isolated.RequestAllocation(t.Context(), "alwusta", 0, 300, 300), ShouldResemble, prepaid.Allocation{StoreUnavailable: true, Unreachable: true})
 		}
 		So(asked, ShouldHaveLength, maxHolderCandidates)
 		So(isolated.IsTokenHolder(), ShouldBeTrue)
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -57,6 +57,8 @@
 	StoreUnavailable bool
 	// Rationed reports that the tokens are kept for more urgent requests.
 	Rationed bool
+	// Unreachable reports that no token holder responded. StoreUnavailable is then set as well.
+	Unreachable bool
 }
 
 // Allocate passes tokens on to another instance of the failure domain for a request of a rank: the needed number, for which it may
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -61,6 +61,7 @@
 	descGranted     = telemetry.Describe("prepaid.reserve.granted", "requests", "Reservations granted.")
 	descExhausted   = telemetry.Describe("prepaid.reserve.exhausted", "requests", "Reservations refused because the budget does not cover them.")
 	descUnavailable = telemetry.Describe("prepaid.reserve.unavailable", "requests", "Reservations refused because the ledger could not be reached.")
+	descUnreachable = telemetry.Describe("prepaid.reserve.unreachable", "requests", "Reservations refused because the ledger could not be reached, and no token holder responded.")
 	descContended   = telemetry.Describe("prepaid.reserve.contended", "requests", "Reservations refused because no lease covered them in time although the ledger could be reached.")
 	descUpdates     = telemetry.Describe("prepaid.ledger.updates", "updates", "Updates of the ledger that were acknowledged.")
 	descConflicts   = telemetry.Describe("prepaid.ledger.conflicts", "updates", "Updates of the ledger that lost against another instance.")
@@ -168,9 +169,9 @@
 	// rationedLoggedAt is when a refusal for more urgent requests was last logged, in Unix nanoseconds.
 	rationedLoggedAt atomic.Int64
 
-	granted, exhausted, unavailable, contended, rationed, rationFloor, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack metrics.Counter
-	unspent                                                                                                                                        metrics.Gauge
-	parkedOne, parkedAll, parkedLost                                                                                                               metrics.Counter
+	granted, exhausted, unavailable, unreachable, contended, rationed, rationFloor, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack metrics.Counter
+	unspent                                                                                                                                                     metrics.Gauge
+	parkedOne, parkedAll, parkedLost                                                                                                                            metrics.Counter
 }
 
 // NewManager returns a manager without leases. Run acquires them.
@@ -178,7 +179,7 @@
 	r := c.Metrics
 	return &Manager{
 		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
-		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r), contended: descContended.Counter(r), rationed: descRationed.Counter(r), rationFloor: descRationFloor.Counter(r),
+		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r), unreachable: descUnreachable.Counter(r), contended: descContended.Counter(r), rationed: descRationed.Counter(r), rationFloor: descRationFloor.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
 		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r),
 		returned: descReturned.Counter(r), takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
@@ -240,8 +241,10 @@
 	if a.reserve(tokens) {
 		return Granted
 	}
+	unreachable := false
 	if !leases {
 		allocation := m.config.RequestAllocation(ctx, customer, rank, tokens, tokens+a.allocationAhead(tokens, m.config.ReduceParked))
+		unreachable = allocation.Unreachable
 		switch {
 		case allocation.Exhausted:
 			return Exhausted
@@ -255,7 +258,11 @@
 			return Contended
 		}
 	}
-	return m.reserveFromLease(ctx, a, tokens)
+	outcome := m.reserveFromLease(ctx, a, tokens)
+	if outcome == Unavailable && unreachable {
+		m.unreachable.Inc(1)
+	}
+	return outcome
 }
 
 // actsAsTokenHolder reports whether this instance leases tokens in advance of its requests. It does so if it is the
--- a/router/export_test.go
+++ b/router/export_test.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // ActiveVersion returns the version of the active configuration, or zero.
 func (r *Router) ActiveVersion() int64 {
@@ -25,3 +29,14 @@
 
 // InFlight returns the number of requests of callers in progress.
 func (r *Router) InFlight() int64 { return r.gateway.InFlight() }
+
+// AvailableTokens returns how many tokens of a customer's budget the instance can reserve at once.
+func (r *Router) AvailableTokens(customer string) int64 { return r.prepaid.View(customer).Available }
+
+// Count returns the value of a counter, or zero if there is none.
+func (r *Router) Count(name string) int64 {
+	if c, ok := r.config.Metrics.Get(name).(metrics.Counter); ok {
+		return c.Count()
+	}
+	return 0
+}
--- a/router/rationed_test.go
+++ b/router/rationed_test.go
@@ -64,18 +64,13 @@
 	p.stop()
 }
 
-// silenceStore lets the store respond to no instance for some time.
-func (p *budgetPlay) silenceStore(d time.Duration) {
-	set := func(silent bool) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for _, in := range p.instances {
-			in.store.setSilent(silent)
-		}
+// silenceStore lets the store respond to no instance, or ends that.
+func (p *budgetPlay) silenceStore(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, in := range p.instances {
+		in.store.setSilent(silent)
 	}
-	set(true)
-	time.Sleep(d)
-	set(false)
 }
 
 // restartAll kills all instances and starts them again.
@@ -146,8 +141,11 @@
 func TestRationingInAnOutageOfTheStore(t *testing.T) {
 	forLoads(t, func(t *testing.T, instances int, seed uint64) {
 		p := newBudgetPlay(instances, seed)
-		p.startSteps(map[time.Duration]func(){storeAway - time.Since(p.start): func() { p.silenceStore(outageLasts) }})
-		p.sendFor(budgetDay)
+		causes := p.playOutage(func() { p.silenceStore(true) }, func() { p.silenceStore(false) }, warmUp+budgetDay-storeAway-outageLasts)
+		t.Log(causes)
+		if causes.unreachable > 0 {
+			t.Errorf("%d requests were refused as if no token holder could be reached", causes.unreachable)
+		}
 		p.checkRanks(t, "before the outage", warmUp, storeAway)
 		p.checkRanks(t, "outage of the store", storeAway, storeAway+outageLasts)
 		p.checkRanks(t, "after the outage", storeAway+outageLasts, warmUp+budgetDay)
