Borrow for requests whose tokens are kept for urgent ones in an outage

Cause: in an outage of the store nearly all refusals for want of tokens came from an instance that kept its tokens for urgent requests, while other instances had enough. It asked these only when its own were used up, they kept what they use themselves in 2 s, and each instance with a token holder borrowed for 5 s ahead. Change: where tokens are rationed, such an instance borrows what is missing before it refuses, once at a time and not within 400 ms of a loan that fell short; a lender keeps what urgent requests need; an instance with a token holder borrows only for requests that wait.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -74,6 +74,8 @@
 	// demandByRank is what requests asked for by rank, share the fraction of the customer's traffic for which this instance leases.
 	demandByRank ration.Demand
 	share        float64
+	// borrowsRationed is set while a loan is requested for a request whose tokens are kept for others.
+	borrowsRationed atomic.Bool
 }
 
 // waiter is a reservation that waits for a larger lease.
@@ -235,15 +237,19 @@
 	return a.limit - a.borrowed
 }
 
-// lend passes on at most half of the tokens that this instance does not need within lendReserve or keeps for urgent requests, and
-// counts them as spent.
+// lend passes on at most half of the tokens that this instance does not need, and counts them as spent. It needs those kept for urgent
+// requests if there are such, otherwise what it uses within lendReserve: its less urgent requests are worth no more than those of others.
 func (a *account) lend(tokens, kept int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.waiters.Len() > 0 {
 		return 0
 	}
-	lendable := a.limit - a.used - max(int64(a.ratePerSecond*lendReserve.Seconds()), kept)
+	reserve := kept
+	if kept == 0 {
+		reserve = int64(a.ratePerSecond * lendReserve.Seconds())
+	}
+	lendable := a.limit - a.used - reserve
 	lent := min(tokens, max(lendable, 0)/2)
 	a.used += lent
 	a.passedOn += lent
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -87,7 +87,7 @@
 
 // allocate is Allocate without logging and metrics.
 func (m *Manager) allocate(ctx context.Context, customer string, a *account, rank int, needed, wanted int64) Allocation {
-	if !m.mayTake(customer, a, rank, needed) {
+	if !m.mayTake(customer, a, rank, needed) && !m.borrowRationed(ctx, customer, a, rank, needed) {
 		return Allocation{Rationed: true}
 	}
 	if tokens, ok := a.reserveToPassOn(needed, wanted); ok {
@@ -157,18 +157,11 @@
 // borrowForAll borrows for the accounts that run out of tokens. If a loan is insufficient, it refuses the waiters.
 func (m *Manager) borrowForAll(ctx context.Context) {
 	for customer, a := range m.snapshotAccounts() {
-		wanted := shortfall(a.demand())
+		wanted := m.wantedLoan(a.demand())
 		if wanted <= 0 || a.loanFailedRecently(m.config.Clock.Now()) {
 			continue
 		}
-		borrowed := m.config.Borrow(ctx, customer, wanted)
-		if borrowed > 0 {
-			m.borrowed.Inc(borrowed)
-			m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": borrowed, "asked": wanted}).Info("prepaid: tokens borrowed")
-			a.addBorrowed(borrowed)
-		}
-		if borrowed < wanted {
-			a.recordLoanFailure(m.config.Clock.Now())
+		if !m.borrow(ctx, customer, a, wanted) {
 			a.refuseWaiters(false)
 		}
 	}
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -235,7 +235,7 @@
 // holder of the domain, and then a larger lease from the ledger.
 func (m *Manager) reserve(ctx context.Context, customer string, a *account, rank int, tokens int64) Outcome {
 	leases := m.actsAsTokenHolder()
-	if leases && !m.mayTake(customer, a, rank, tokens) {
+	if leases && !m.mayTake(customer, a, rank, tokens) && !m.borrowRationed(ctx, customer, a, rank, tokens) {
 		return Rationed
 	}
 	if a.reserve(tokens) {
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -72,6 +72,16 @@
 	return copied.Decide(rank, tokens, s, now)
 }
 
+// Missing returns how many tokens the supply lacks for a request of a rank that Decide refused.
+func (d *Demand) Missing(rank int, tokens int64, s Supply, now time.Time) int64 {
+	copied := *d
+	copied.advance(now)
+	return max(tokens+copied.before(clamp(rank), s.Lasts)-s.Tokens, 0)
+}
+
+// Grant records that a request of a rank that Decide refused may take its tokens after all.
+func (d *Demand) Grant(rank int) { d.granted[clamp(rank)]++ }
+
 // Kept returns the number of tokens that must be kept for all but the least urgent rank, for the given time.
 func (d *Demand) Kept(lasts time.Duration, now time.Time) int64 {
 	copied := *d
