Merge sizes of leases by a steadier rate, loans for rationed requests, and rationing under failure

Cause: near the end of a budget holders leased by noisy rates; nine in ten refusals for tokens in an outage came while others had enough.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -61,6 +61,10 @@
 	rateBaseline  int64
 	// longRatePerSecond is the same average over a longer time.
 	longRatePerSecond float64
+	steadyRate        steadyRate
+	// committedAtStart is what the ledger had committed when this instance first read it, ledgerSeen whether it has.
+	committedAtStart int64
+	ledgerSeen       bool
 	// passedOn is the part of used that was passed on to other instances. ownRatePerSecond is the moving average of the tokens
 	// that this instance's requests use per second, and ownRateBaseline the value of used without passedOn at its last update.
 	passedOn         int64
@@ -75,6 +79,8 @@
 	// demandByRank is what requests asked for by rank, share the fraction of the customer's traffic for which this instance leases.
 	demandByRank ration.Demand
 	share        float64
+	// borrowsRationed is set while a loan is requested for a request whose tokens are kept for others.
+	borrowsRationed atomic.Bool
 }
 
 // waiter is a reservation that waits for a larger lease.
@@ -236,15 +242,19 @@
 	return a.limit - a.borrowed
 }
 
-// lend passes on at most half of the tokens that this instance does not need within lendReserve or keeps for urgent requests, and
-// counts them as spent.
+// lend passes on at most half of the tokens that this instance does not need, and counts them as spent. It needs those kept for urgent
+// requests if there are such, otherwise what it uses within lendReserve: its less urgent requests are worth no more than those of others.
 func (a *account) lend(tokens, kept int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.waiters.Len() > 0 {
 		return 0
 	}
-	lendable := a.limit - a.used - max(int64(a.ratePerSecond*lendReserve.Seconds()), kept)
+	reserve := kept
+	if kept == 0 {
+		reserve = int64(a.ratePerSecond * lendReserve.Seconds())
+	}
+	lendable := a.limit - a.used - reserve
 	lent := min(tokens, max(lendable, 0)/2)
 	a.used += lent
 	a.passedOn += lent
@@ -311,15 +321,18 @@
 type demand struct {
 	limit, used, borrowed int64
 	// waiting is the sum of the tokens that waiters need.
-	waiting                          int64
-	ratePerSecond, longRatePerSecond float64
+	waiting                                               int64
+	ratePerSecond, longRatePerSecond, steadyRatePerSecond float64
 }
 
 // demand returns the current state for the next update of the ledger.
 func (a *account) demand() demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := demand{limit: a.limit, used: a.used, borrowed: a.borrowed, ratePerSecond: a.ratePerSecond, longRatePerSecond: a.longRatePerSecond}
+	d := demand{
+		limit: a.limit, used: a.used, borrowed: a.borrowed,
+		ratePerSecond: a.ratePerSecond, longRatePerSecond: a.longRatePerSecond, steadyRatePerSecond: a.steadyRate.perSecond,
+	}
 	for e := a.waiters.Front(); e != nil; e = e.Next() {
 		d.waiting += e.Value.(*waiter).tokens
 	}
@@ -339,6 +352,7 @@
 	own := a.used - a.passedOn
 	a.ratePerSecond = average(a.ratePerSecond, rateWeight, a.used-a.rateBaseline)
 	a.longRatePerSecond = average(a.longRatePerSecond, longRateWeight, a.used-a.rateBaseline)
+	a.steadyRate.add(float64(a.used-a.rateBaseline) / elapsed.Seconds())
 	a.ownRatePerSecond = average(a.ownRatePerSecond, longRateWeight, own-a.ownRateBaseline)
 	a.ownRequestsPerSecond = average(a.ownRequestsPerSecond, longRateWeight, a.ownRequests.Swap(0))
 	a.rateBaseline, a.ownRateBaseline = a.used, own
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -57,6 +57,8 @@
 	StoreUnavailable bool
 	// Rationed reports that the tokens are kept for more urgent requests.
 	Rationed bool
+	// Unreachable reports that no token holder responded. StoreUnavailable is then set as well.
+	Unreachable bool
 }
 
 // Allocate passes tokens on to another instance of the failure domain for a request of a rank: the needed number, for which it may
@@ -85,7 +87,7 @@
 
 // allocate is Allocate without logging and metrics.
 func (m *Manager) allocate(ctx context.Context, customer string, a *account, rank int, needed, wanted int64) Allocation {
-	if !m.mayTake(customer, a, rank, needed) {
+	if !m.mayTake(customer, a, rank, needed) && !m.borrowRationed(ctx, customer, a, rank, needed) {
 		return Allocation{Rationed: true}
 	}
 	if tokens, ok := a.reserveToPassOn(needed, wanted); ok {
@@ -155,22 +157,14 @@
 // borrowForAll borrows for the accounts that run out of tokens. If a loan is insufficient, it refuses the waiters.
 func (m *Manager) borrowForAll(ctx context.Context) {
 	for customer, a := range m.snapshotAccounts() {
-		wanted := shortfall(a.demand())
+		wanted := m.wantedLoan(a.demand())
 		if m.rations() {
 			wanted = a.boundLoan(wanted)
 		}
 		if wanted <= 0 || a.loanFailedRecently(m.config.Clock.Now()) {
 			continue
 		}
-		borrowed := m.config.Borrow(ctx, customer, wanted)
-		if borrowed > 0 {
-			m.borrowed.Inc(borrowed)
-			m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": borrowed, "asked": wanted}).Info("prepaid: tokens borrowed")
-			a.addBorrowed(borrowed)
-		}
-		a.recordLoan(borrowed < wanted)
-		if borrowed < wanted {
-			a.recordLoanFailure(m.config.Clock.Now())
+		if !m.borrow(ctx, customer, a, wanted) {
 			a.refuseWaiters(false)
 		}
 	}
