--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -38,6 +38,10 @@
 	gateway *Gateway
 	mu      sync.Mutex
 	checks  []*crashCheck
+	// forOthers holds the endpoint processes that wait for a check because other instances lost requests there, alive those that have
+	// not ended although requests were lost.
+	forOthers []registry.Endpoint
+	alive     []lostEndpoint
 }
 
 // crashCheck is the check of one endpoint process, and the requests that were lost there until its end.
@@ -58,12 +62,25 @@
 		d.record(&crashCheck{endpoint: e, lostAt: now, requests: [][]string{parts}})
 		return nil
 	}
+	c, aliveLately := d.addCheck(e, parts, now)
+	if c == nil {
+		return nil
+	}
+	if !aliveLately {
+		d.gateway.config.Quarantine.Lost(e, parts, c.lostAt)
+	}
+	return c.done
+}
+
+// addCheck adds a lost request to the check of its endpoint, which it begins if there is none. It returns nil if too many are in
+// progress. aliveLately is set if a check has lately found that the endpoint has not ended.
+func (d *crashDetector) addCheck(e registry.Endpoint, parts []string, now time.Time) (_ *crashCheck, aliveLately bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := slices.IndexFunc(d.checks, func(c *crashCheck) bool { return c.endpoint.SameProcess(e) })
 	if i < 0 {
 		if len(d.checks) >= maxCrashChecks {
-			return nil
+			return nil, false
 		}
 		i = len(d.checks)
 		c := &crashCheck{endpoint: e, lostAt: now, done: make(chan struct{})}
@@ -77,7 +94,7 @@
 	if c.parts+len(parts) <= maxPartsChecked {
 		c.requests, c.parts = append(c.requests, parts), c.parts+len(parts)
 	}
-	return c.done
+	return c, d.aliveLately(e, now)
 }
 
 // check connects to the endpoint. Only a refused connection shows that the process has ended, unless another instance connects to
@@ -99,6 +116,8 @@
 		g.reach.Failed(c.endpoint, g.config.Clock.Now())
 	}
 	if !refused || reached {
+		g.config.Quarantine.NotEnded(c.endpoint)
+		d.recordAlive(c.endpoint)
 		g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "connected": err == nil, "reached_by_others": reached}).
 			Info("gateway: endpoint has not ended, although requests were lost before their first event")
 		return
@@ -114,6 +133,7 @@
 	for _, parts := range c.requests {
 		g.config.Quarantine.Crashed(c.endpoint, parts, c.lostAt, now)
 	}
+	g.config.Quarantine.CrashedForOthers(c.endpoint, now)
 	g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "parts": distinctParts(c.requests)}).
 		Info("gateway: endpoint crashed while requests waited for their first event")
 }
--- /dev/null
+++ b/gateway/crash_others_test.go
@@ -0,0 +1,63 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/quarantine"
+	"pumiceshelf/registry"
+)
+
+// The instance that lost a request may end before it checks the endpoint. Another one must check it in its place.
+func TestCheckForOtherInstances(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ended   bool
+		crashes int
+		log     string
+	}{
+		{"counts if the endpoint has ended", true, 1, crashLog},
+		{"does not count if the endpoint runs", false, 0, "gateway: endpoint has not ended, although requests were lost before their first event"},
+	} {
+		Convey("a loss that another instance passed on "+c.name, t, func() {
+			e := newFakeEndpoint("i-1", abortConnection)
+			h := newHarness(e)
+			Reset(h.close)
+			h.config.Quarantine = quarantine.New(quarantine.Config{OnLoss: func(e registry.Endpoint) { h.gateway.CheckForOthers(e) }})
+			h.restart()
+			endpoint := h.config.Endpoints().Endpoints("model", time.Now())[0]
+			if c.ended {
+				e.crash()
+			}
+			now := h.config.Clock.Now()
+			h.config.Quarantine.Merge(quarantine.State{Crashes: []quarantine.Crash{{Endpoint: endpoint, Unchecked: true, Parts: []string{"bad"}}}}, now)
+			So(h.config.Quarantine.Statements(now).Crashes, ShouldBeEmpty)
+			h.awaitLogs(c.log, 1)
+			So(h.config.Quarantine.Statements(h.config.Clock.Now()).Crashes, ShouldHaveLength, c.crashes)
+			So(h.config.Quarantine.LostByOthers(endpoint), ShouldBeFalse)
+		})
+	}
+}
+
+// Losses at an endpoint that resets connections must not make other instances check it each time.
+func TestLossIsPassedOnBeforeItsCheck(t *testing.T) {
+	Convey("a lost request is passed on at once, but not soon after a check that found the endpoint running", t, func() {
+		h := newHarness(newFakeEndpoint("i-1", abortConnection))
+		Reset(h.close)
+		h.config.Quarantine = quarantine.New(quarantine.Config{})
+		clock := h.setClock()
+		passedOn := func() int { return len(h.config.Quarantine.Losses(clock.Now()).Crashes) }
+		h.sendPrompt("/note/", "part", 0)
+		So(passedOn(), ShouldEqual, 1)
+		h.awaitLogs("gateway: endpoint has not ended, although requests were lost before their first event", 1)
+		clock.advance(5 * time.Second)
+		h.sendPrompt("/note/", "part", 1)
+		So(passedOn(), ShouldEqual, 0)
+		h.awaitLogs("gateway: endpoint has not ended, although requests were lost before their first event", 2)
+		clock.advance(11 * time.Second)
+		h.sendPrompt("/note/", "part", 2)
+		So(passedOn(), ShouldEqual, 1)
+	})
+}
--- a/members/evidence.go
+++ b/members/evidence.go
@@ -169,8 +169,12 @@
 	return true
 }
 
-// RunPushingEvidence passes own evidence on to all other instances as soon as there is some, until the context ends.
+// RunPushingEvidence passes own evidence on to all other instances as soon as there is some, and losses that are not checked yet to a
+// few, until the context ends.
 func (m *Members) RunPushingEvidence(ctx context.Context) error {
+	var losses sync.WaitGroup
+	defer losses.Wait()
+	losses.Go(func() { m.runPassingOnLosses(ctx) })
 	for {
 		timer, stop := m.untilJudged()
 		select {
@@ -247,7 +251,7 @@
 	for _, c := range s.Crashes {
 		out.Crashes = append(out.Crashes, &api.EndpointCrash{
 			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service, Address: c.Endpoint.Address, StartedUnixMs: c.Endpoint.StartedUnixMilli,
-			SoftwareVersion: c.Endpoint.SoftwareVersion, Age: durationpb.New(c.Age), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+			SoftwareVersion: c.Endpoint.SoftwareVersion, Age: encodeCrashAge(c), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
 		})
 	}
 	for _, b := range s.Begun {
@@ -266,11 +270,12 @@
 func decodeEvidence(e *api.QuarantineEvidence) quarantine.State {
 	var out quarantine.State
 	for _, c := range e.GetCrashes() {
+		age, unchecked := decodeCrashAge(c.Age.AsDuration())
 		out.Crashes = append(out.Crashes, quarantine.Crash{
 			Endpoint: registry.Endpoint{
 				ID: c.Endpoint, Service: c.Service, Address: c.Address, StartedUnixMilli: c.StartedUnixMs, SoftwareVersion: c.SoftwareVersion,
 			},
-			Age: c.Age.AsDuration(), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+			Age: age, Unchecked: unchecked, Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
 		})
 	}
 	for _, b := range e.GetBegun() {
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -33,6 +33,8 @@
 	FirstParts []string
 	// StoredParts holds those of the parts that the store has with the crash.
 	StoredParts []string
+	// Unchecked is set if it is not known yet whether the endpoint has ended.
+	Unchecked bool
 }
 
 // Begun is a part with which an answer began.
@@ -198,7 +200,11 @@
 		}
 	}
 	for _, stated := range s.Crashes[:min(len(s.Crashes), maxStatedCrashes)] {
-		if stated.Age <= evidenceMemory {
+		switch {
+		case stated.Age > evidenceMemory:
+		case stated.Unchecked:
+			t.mergeLoss(stated, now)
+		default:
 			t.mergeCrash(stated, now, fromStore)
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -129,17 +129,23 @@
 	// TakeoverDelay returns how long after a first period this instance writes evidence of others to the store, if they do not.
 	// It should differ among instances. If nil, there is no delay.
 	TakeoverDelay func() time.Duration
+	// OnLoss is called when another instance lost a request at an endpoint and has not checked yet whether it has ended. It must not
+	// call the Tracker. It may be nil.
+	OnLoss func(registry.Endpoint)
 }
 
 // Tracker holds what this instance knows of parts that crash endpoints.
 type Tracker struct {
 	config Config
 	// inUse is set while there are crashes or verdicts, so that the path of requests usually takes no lock.
-	inUse atomic.Bool
-	wake  chan struct{}
+	inUse            atomic.Bool
+	wake, wakeLosses chan struct{}
 
 	mu      sync.Mutex
 	crashes []*crash
+	// ownLosses holds the losses of this instance until they are passed on or checked, otherLosses those of other instances until
+	// this one has checked them.
+	ownLosses, otherLosses []*loss
 	// begunParts and begunRequests hold when an answer last began, for prompt parts and for whole requests, of which there are
 	// many more.
 	begunParts, begunRequests recentTimes
@@ -194,16 +200,20 @@
 // New returns a Tracker that knows nothing.
 func New(c Config) *Tracker {
 	return &Tracker{
-		config: c, wake: make(chan struct{}, 1), verdicts: make(map[string]*verdict), former: make(map[string]time.Time),
+		config: c, wake: make(chan struct{}, 1), wakeLosses: make(chan struct{}, 1), verdicts: make(map[string]*verdict),
+		former: make(map[string]time.Time),
 	}
 }
 
 // Wake returns a channel that receives after this instance made an observation that others should know.
 func (t *Tracker) Wake() <-chan struct{} { return t.wake }
 
-func (t *Tracker) signal() {
+func (t *Tracker) signal() { signal(t.wake) }
+
+// signal sends to a channel unless it holds a value.
+func signal(c chan<- struct{}) {
 	select {
-	case t.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -272,6 +282,7 @@
 func (t *Tracker) Crashed(e registry.Endpoint, parts []string, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.ownLosses = withoutProcess(t.ownLosses, e)
 	c := t.crashOf(e, at)
 	// If there are too many parts, those with an older answer are kept.
 	order := slices.Clone(parts)
@@ -279,6 +290,11 @@
 	for _, part := range order {
 		t.addSuspect(c, part, suspect{first: part == parts[0] && !IsRequestPart(part), own: true, knownAt: now})
 	}
+	t.observed(c, now)
+}
+
+// observed lets a crash that this instance observed be passed on and judged.
+func (t *Tracker) observed(c *crash, now time.Time) {
 	c.unsent = true
 	t.scheduleJudge(now.Add(replyPeriod))
 	t.signal()
--- a/router/router.go
+++ b/router/router.go
@@ -163,7 +163,10 @@
 	})
 	r.loads = newLoads(c.SharesAllLoads)
 	r.chooser = placement.NewWithLoads(r.limits, r.loads)
-	r.quarantine = quarantine.New(quarantine.Config{Self: c.Settings.Name, OnChange: r.logQuarantine, TakeoverDelay: r.evidenceTakeoverDelay})
+	r.quarantine = quarantine.New(quarantine.Config{
+		Self: c.Settings.Name, OnChange: r.logQuarantine, TakeoverDelay: r.evidenceTakeoverDelay,
+		OnLoss: func(e registry.Endpoint) { r.gateway.CheckForOthers(e) },
+	})
 	incarnation := instance.NewIncarnation(c.Settings.Name)
 	r.members = members.New(members.Config{
 		Store: c.Store, Collections: c.Store, Incarnation: incarnation,
