--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -27,6 +27,8 @@
 	maxCrashChecks = 64
 	// maxPartsChecked bounds the parts of lost requests that wait for a check.
 	maxPartsChecked = 256
+	// verdictPollInterval is the time between two looks whether there is a verdict on a request that waits for it.
+	verdictPollInterval = 20 * time.Millisecond
 	// maxSharedParts and maxPartBytes bound the parts of a request that are considered.
 	maxSharedParts = 64
 	maxPartBytes   = 128
@@ -188,12 +190,30 @@
 	if await := j.gateway.config.AwaitEvidence; await != nil {
 		await(j.ctx)
 	}
+	j.awaitVerdict()
 	if reason, quarantined := j.quarantined(); quarantined {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfterQuarantined}
 	}
 	return nil
 }
 
+// awaitVerdict waits while other instances are asked whether the request crashes endpoints. A caller that repeats it at once would take
+// further endpoints meanwhile.
+func (j *job) awaitVerdict() {
+	config := j.gateway.config
+	for {
+		wait := config.Quarantine.Awaited(j.suspectParts(), config.Clock.Now())
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-config.Clock.After(min(wait, verdictPollInterval)):
+		case <-j.ctx.Done():
+			return
+		}
+	}
+}
+
 // quarantined logs the verdict on the request if it has a part in quarantine, and returns the reason to refuse it.
 func (j *job) quarantined() (reason, bool) {
 	v, ok := j.gateway.config.Quarantine.Quarantined(j.suspectParts(), j.gateway.config.Clock.Now())
--- a/gateway/crash_others_test.go
+++ b/gateway/crash_others_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,27 @@
 		So(passedOn(), ShouldEqual, 1)
 	})
 }
+
+// A caller repeats a request before the other instances have replied whether they know an answer to it.
+func TestRequestWaitsForVerdict(t *testing.T) {
+	Convey("right after the third crash, a request is not sent before the verdict, and a sound one is", t, func() {
+		var endpoints []*fakeEndpoint
+		for i := range 5 {
+			endpoints = append(endpoints, crashOnQuery(fmt.Sprintf("i-%d", i), "bad"))
+		}
+		h := newHarness(endpoints...)
+		Reset(h.close)
+		h.config.Quarantine = quarantine.New(quarantine.Config{})
+		h.restart()
+		for i := range 3 {
+			So(h.send("POST", "/status/x?bad", "{}", nil).status, ShouldEqual, 502)
+			h.awaitLogs(crashLog, i+1)
+		}
+		before := h.requestCount()
+		refused := h.send("POST", "/status/x?bad", "{}", nil)
+		So(refused.status, ShouldEqual, 503)
+		So(refused.body, ShouldContainSubstring, "quarantined-request")
+		So(h.requestCount(), ShouldEqual, before)
+		So(h.send("POST", "/status/x?good", "{}", nil).status, ShouldEqual, 200)
+	})
+}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -52,7 +52,7 @@
 	t.forget(now)
 	t.explain()
 	for {
-		convicted := t.convictable(now)
+		convicted := convictable(t.suspicions(now))
 		if len(convicted) == 0 {
 			break
 		}
@@ -223,11 +223,11 @@
 // crashes is needed.
 func (s *suspicion) convicts(further int) bool { return s.share && s.settled >= s.threshold()+further }
 
-// convictable returns the parts to put in quarantine next. Those with which no answer ever began come first, because an answer
+// convictable returns the parts of a list to put in quarantine next. Those with which no answer ever began come first, because an answer
 // shows that endpoints survived the other ones, and whole requests come before the prompt parts that they have.
-func (t *Tracker) convictable(now time.Time) []suspicion {
+func convictable(list []suspicion) []suspicion {
 	var requests, parts, begunRequests, begunParts []suspicion
-	for _, s := range t.suspicions(now) {
+	for _, s := range list {
 		isRequest := IsRequestPart(s.part)
 		switch {
 		case s.former && s.convicts(0):
