Judge a request knowing whether it was ever answered, at every instance

Cause: whether a request was ever answered decides between three crashes and five. An instance that is cut off from the others reads the crashes from the store, which did not say that. In a trace (trial: 90 instances, only the route "once", 0.9 of the requests alike in ten kinds) the cut instance lost /once/popular4 in one crash at 7.9 s, read three more with it from the store at 10.000 s, and put it in quarantine at once as never answered, although others had answered it before. In a model, an instance that learns of three crashes from three others which do not know of the answer does the same after 2 s, and its verdict goes to all. Change: the object in the store names the answered parts. An instance that lost a part in one of several crashes and learns that it was answered tells all others. Crashes that a never answered request explains do not count against an answered one.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -74,10 +74,10 @@
 	for _, v := range t.verdicts {
 		v.unsent = false
 	}
-	for _, part := range t.withdrawn {
+	for _, part := range slices.Concat(t.withdrawn, t.answersToTell) {
 		s.Begun = append(s.Begun, Begun{Part: part, Age: now.Sub(t.begunAt(part))})
 	}
-	t.withdrawn = nil
+	t.withdrawn, t.answersToTell = nil, nil
 	return s
 }
 
@@ -138,7 +138,7 @@
 		}
 		stated := Crash{Endpoint: c.endpoint, Age: now.Sub(c.at)}
 		for part, member := range c.parts {
-			if c.acquits(part) || !t.counts(c, part) {
+			if t.acquits(c, part) || !t.counts(c, part) {
 				continue
 			}
 			if IsRequestPart(part) && lost[part] == 1 && now.Sub(c.at) > loneRequestPeriod {
@@ -195,9 +195,13 @@
 	defer t.mu.Unlock()
 	for _, b := range s.Begun {
 		at := now.Add(-max(b.Age, 0))
-		if known := t.begunAt(b.Part); known.IsZero() || at.Sub(known) > minAdvance {
+		known := t.begunAt(b.Part)
+		if known.IsZero() || at.Sub(known) > minAdvance {
 			t.setBegun(b.Part, at)
 		}
+		if known.IsZero() && !fromStore {
+			t.tellAnswer(b.Part)
+		}
 	}
 	for _, stated := range s.Crashes[:min(len(s.Crashes), maxStatedCrashes)] {
 		switch {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -139,7 +139,7 @@
 		}
 		for part, member := range c.parts {
 			convicted := c.explainedBy == part || c.explainedBy != "" && t.verdicts[part] != nil
-			if !t.counts(c, part) || c.acquits(part) || convicted {
+			if !t.counts(c, part) || t.acquits(c, part) || convicted {
 				continue
 			}
 			s := byPart[part]
@@ -186,10 +186,17 @@
 }
 
 // acquits reports whether a crash does not count against a part because a verdict on another one explains it. A verdict on a whole
-// request does not acquit other whole requests. They count again once they are in a crash that no verdict explains: if the
-// instance that observed one of the crashes ended, the cause has less evidence than a sound request that was lost with it.
-func (c *crash) acquits(part string) bool {
-	return c.explainedBy != "" && c.explainedBy != part && !(IsRequestPart(c.explainedBy) && IsRequestPart(part))
+// request does not acquit other whole requests, unless it never had an answer and the other one had: then it is more likely the cause.
+// They count again once they are in a crash that no verdict explains: if the instance that observed one of the crashes ended, the
+// cause has less evidence than a sound request that was lost with it.
+func (t *Tracker) acquits(c *crash, part string) bool {
+	switch {
+	case c.explainedBy == "" || c.explainedBy == part:
+		return false
+	case IsRequestPart(c.explainedBy) && IsRequestPart(part):
+		return t.begunAt(c.explainedBy).IsZero() && !t.begunAt(part).IsZero()
+	}
+	return true
 }
 
 // counts reports whether a crash counts against one of its parts: no answer with the part began since. The first part of a
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -158,6 +158,8 @@
 	// the store has such a verdict.
 	withdrawn       []string
 	storedWithdrawn bool
+	// answersToTell holds parts of which others are to be told that an answer began.
+	answersToTell []string
 }
 
 // crash is the end of one endpoint process while requests waited there for their first event.
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -66,12 +66,13 @@
 	}
 	relevantCrash := func(c *crash) bool { return c.explainedBy == "" || IsRequestPart(c.explainedBy) }
 	all := t.state(now, relevantCrash, func(*verdict) bool { return true })
-	out := State{Quarantined: all.Quarantined}
+	out, named := State{Quarantined: all.Quarantined}, make(map[string]bool)
 	for _, c := range all.Crashes {
 		kept := Crash{Endpoint: c.Endpoint, Age: c.Age}
 		for _, part := range c.Parts {
 			if relevant[part] {
 				kept.Parts = append(kept.Parts, part)
+				named[part] = true
 			}
 		}
 		for _, part := range c.FirstParts {
@@ -83,6 +84,7 @@
 			out.Crashes = append(out.Crashes, kept)
 		}
 	}
+	out.Begun = t.storedAnswers(named, now)
 	return out
 }
 
