--- a/members/evidence.go
+++ b/members/evidence.go
@@ -36,6 +36,9 @@
 	maxEvidencePushes = 32
 	// contactTimeout is how long after the last contact with another instance this one counts as isolated.
 	contactTimeout = 1200 * time.Millisecond
+	// failedPushPeriod is how long after a push to which an instance did not respond this one reads the stored evidence. An instance that
+	// is cut off from the others may alone have observed some of the crashes; it writes them within about 2 s.
+	failedPushPeriod = 5 * time.Second
 )
 
 // evidenceContact tells whether this instance exchanges evidence with others, in either direction. It is safe for concurrent
@@ -46,6 +49,8 @@
 	failed atomic.Bool
 	// unresponsive holds the instances to which a push failed.
 	unresponsive unresponsiveSet
+	// lastFailedPush is when an instance last did not respond to a push.
+	lastFailedPush atomic.Pointer[time.Time]
 	// listed is closed once the first listing of instances is there, asked once this instance has asked others after its start.
 	listed, asked chan struct{}
 }
@@ -54,6 +59,12 @@
 
 func (c *evidenceContact) record(now time.Time) { c.last.Store(&now) }
 
+// pushFailed reports whether an instance lately did not respond to a push.
+func (c *evidenceContact) pushFailed(now time.Time) bool {
+	last := c.lastFailedPush.Load()
+	return last != nil && now.Sub(*last) <= failedPushPeriod
+}
+
 // lost reports whether there was no contact lately.
 func (c *evidenceContact) lost(now time.Time) bool {
 	last := c.last.Load()
@@ -229,7 +240,9 @@
 		calls.Go(func() {
 			defer func() { <-slots }()
 			if !m.sendEvidence(ctx, member.PeerAddress, request) {
-				m.contact.unresponsive.add(member.PeerAddress, m.config.Clock.Now().Add(skipUnresponsive))
+				now := m.config.Clock.Now()
+				m.contact.unresponsive.add(member.PeerAddress, now.Add(skipUnresponsive))
+				m.contact.lastFailedPush.Store(&now)
 			}
 		})
 	}
--- a/members/evidence_losses_test.go
+++ b/members/evidence_losses_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -45,3 +47,36 @@
 		}
 	})
 }
+
+// The instance that observed most of the crashes may be cut off from the others, which still reach each other.
+func TestEvidenceOfUnreachableInstanceIsRead(t *testing.T) {
+	Convey("an instance whose push got no response reads the store for a while, and learns what the cut one knows", t, func() {
+		f := newEvidenceFleet(t, "a1", "a2", "cut")
+		for name := range f.peers {
+			f.update(t, name)
+		}
+		dial := f.peers["a1"].config.Dial
+		f.peers["a1"].config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if address == f.peers["cut"].config.Self.PeerAddress {
+				return nil, errors.New("cut")
+			}
+			return dial(ctx, address)
+		}
+		for _, endpoint := range []string{"i-1", "i-2", "i-3"} {
+			now := f.clock.Now()
+			f.peers["cut"].config.Quarantine.Crashed(registry.Endpoint{ID: endpoint, Address: "10.0.0.1:80"}, []string{"bad"}, now, now)
+			f.clock.Advance(time.Second)
+		}
+		f.update(t, "cut")
+		reads := f.store.reads
+		f.update(t, "a1")
+		So(f.store.reads, ShouldEqual, reads)
+		f.crash(t, "a1", "i-4", "other")
+		f.update(t, "a1")
+		So(f.store.reads, ShouldEqual, reads+1)
+		So(f.refuses("a1", "bad"), ShouldBeTrue)
+		f.clock.Advance(failedPushPeriod)
+		f.update(t, "a1")
+		So(f.store.reads, ShouldEqual, reads+1)
+	})
+}
--- a/members/evidence_store.go
+++ b/members/evidence_store.go
@@ -41,8 +41,8 @@
 	writePause time.Duration
 }
 
-// RunStoringEvidence reads the stored evidence at the start and while no other instance responds, and writes what the store
-// lacks, until the context ends.
+// RunStoringEvidence reads the stored evidence at the start, while no other instance responds, and for a while after one did not
+// respond to a push. It writes what the store lacks, until the context ends.
 func (m *Members) RunStoringEvidence(ctx context.Context) error {
 	s := &evidenceStore{members: m}
 	for {
@@ -62,7 +62,7 @@
 	m := s.members
 	ctx, cancel := context.WithTimeout(ctx, evidenceStoreTimeout)
 	defer cancel()
-	if !s.read || m.isolated() {
+	if !s.read || m.isolated() || m.contact.pushFailed(m.config.Clock.Now()) {
 		if err := s.load(ctx); err != nil {
 			return err
 		}
