--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -27,6 +27,8 @@
 	maxCrashChecks = 64
 	// maxPartsChecked bounds the parts of lost requests that wait for a check.
 	maxPartsChecked = 256
+	// verdictPollInterval is the time between two looks whether there is a verdict on a request that waits for it.
+	verdictPollInterval = 20 * time.Millisecond
 	// maxSharedParts and maxPartBytes bound the parts of a request that are considered.
 	maxSharedParts = 64
 	maxPartBytes   = 128
@@ -38,6 +40,10 @@
 	gateway *Gateway
 	mu      sync.Mutex
 	checks  []*crashCheck
+	// forOthers holds the endpoint processes that wait for a check because other instances lost requests there, alive those that have
+	// not ended although requests were lost.
+	forOthers []registry.Endpoint
+	alive     []lostEndpoint
 }
 
 // crashCheck is the check of one endpoint process, and the requests that were lost there until its end.
@@ -58,12 +64,25 @@
 		d.record(&crashCheck{endpoint: e, lostAt: now, requests: [][]string{parts}})
 		return nil
 	}
+	c, aliveLately := d.addCheck(e, parts, now)
+	if c == nil {
+		return nil
+	}
+	if !aliveLately {
+		d.gateway.config.Quarantine.Lost(e, parts, c.lostAt)
+	}
+	return c.done
+}
+
+// addCheck adds a lost request to the check of its endpoint, which it begins if there is none. It returns nil if too many are in
+// progress. aliveLately is set if a check has lately found that the endpoint has not ended.
+func (d *crashDetector) addCheck(e registry.Endpoint, parts []string, now time.Time) (_ *crashCheck, aliveLately bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := slices.IndexFunc(d.checks, func(c *crashCheck) bool { return c.endpoint.SameProcess(e) })
 	if i < 0 {
 		if len(d.checks) >= maxCrashChecks {
-			return nil
+			return nil, false
 		}
 		i = len(d.checks)
 		c := &crashCheck{endpoint: e, lostAt: now, done: make(chan struct{})}
@@ -77,7 +96,7 @@
 	if c.parts+len(parts) <= maxPartsChecked {
 		c.requests, c.parts = append(c.requests, parts), c.parts+len(parts)
 	}
-	return c.done
+	return c, d.aliveLately(e, now)
 }
 
 // check connects to the endpoint. Only a refused connection shows that the process has ended, unless another instance connects to
@@ -99,6 +118,8 @@
 		g.reach.Failed(c.endpoint, g.config.Clock.Now())
 	}
 	if !refused || reached {
+		g.config.Quarantine.NotEnded(c.endpoint)
+		d.recordAlive(c.endpoint)
 		g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "connected": err == nil, "reached_by_others": reached}).
 			Info("gateway: endpoint has not ended, although requests were lost before their first event")
 		return
@@ -114,6 +135,7 @@
 	for _, parts := range c.requests {
 		g.config.Quarantine.Crashed(c.endpoint, parts, c.lostAt, now)
 	}
+	g.config.Quarantine.CrashedForOthers(c.endpoint, now)
 	g.config.Log.WithFields(log.Fields{"endpoint": c.endpoint.ID, "requests": len(c.requests), "parts": distinctParts(c.requests)}).
 		Info("gateway: endpoint crashed while requests waited for their first event")
 }
@@ -168,12 +190,30 @@
 	if await := j.gateway.config.AwaitEvidence; await != nil {
 		await(j.ctx)
 	}
+	j.awaitVerdict()
 	if reason, quarantined := j.quarantined(); quarantined {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfterQuarantined}
 	}
 	return nil
 }
 
+// awaitVerdict waits while other instances are asked whether the request crashes endpoints. A caller that repeats it at once would take
+// further endpoints meanwhile.
+func (j *job) awaitVerdict() {
+	config := j.gateway.config
+	for {
+		wait := config.Quarantine.Awaited(j.suspectParts(), config.Clock.Now())
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-config.Clock.After(min(wait, verdictPollInterval)):
+		case <-j.ctx.Done():
+			return
+		}
+	}
+}
+
 // quarantined logs the verdict on the request if it has a part in quarantine, and returns the reason to refuse it.
 func (j *job) quarantined() (reason, bool) {
 	v, ok := j.gateway.config.Quarantine.Quarantined(j.suspectParts(), j.gateway.config.Clock.Now())
--- a/members/evidence.go
+++ b/members/evidence.go
@@ -36,6 +36,9 @@
 	maxEvidencePushes = 32
 	// contactTimeout is how long after the last contact with another instance this one counts as isolated.
 	contactTimeout = 1200 * time.Millisecond
+	// failedPushPeriod is how long after a push to which an instance did not respond this one reads the stored evidence. An instance that
+	// is cut off from the others may alone have observed some of the crashes; it writes them within about 2 s.
+	failedPushPeriod = 5 * time.Second
 )
 
 // evidenceContact tells whether this instance exchanges evidence with others, in either direction. It is safe for concurrent
@@ -46,6 +49,8 @@
 	failed atomic.Bool
 	// unresponsive holds the instances to which a push failed.
 	unresponsive unresponsiveSet
+	// lastFailedPush is when an instance last did not respond to a push.
+	lastFailedPush atomic.Pointer[time.Time]
 	// listed is closed once the first listing of instances is there, asked once this instance has asked others after its start.
 	listed, asked chan struct{}
 }
@@ -54,6 +59,12 @@
 
 func (c *evidenceContact) record(now time.Time) { c.last.Store(&now) }
 
+// pushFailed reports whether an instance lately did not respond to a push.
+func (c *evidenceContact) pushFailed(now time.Time) bool {
+	last := c.lastFailedPush.Load()
+	return last != nil && now.Sub(*last) <= failedPushPeriod
+}
+
 // lost reports whether there was no contact lately.
 func (c *evidenceContact) lost(now time.Time) bool {
 	last := c.last.Load()
@@ -169,8 +180,12 @@
 	return true
 }
 
-// RunPushingEvidence passes own evidence on to all other instances as soon as there is some, until the context ends.
+// RunPushingEvidence passes own evidence on to all other instances as soon as there is some, and losses that are not checked yet to a
+// few, until the context ends.
 func (m *Members) RunPushingEvidence(ctx context.Context) error {
+	var losses sync.WaitGroup
+	defer losses.Wait()
+	losses.Go(func() { m.runPassingOnLosses(ctx) })
 	for {
 		timer, stop := m.untilJudged()
 		select {
@@ -225,7 +240,9 @@
 		calls.Go(func() {
 			defer func() { <-slots }()
 			if !m.sendEvidence(ctx, member.PeerAddress, request) {
-				m.contact.unresponsive.add(member.PeerAddress, m.config.Clock.Now().Add(skipUnresponsive))
+				now := m.config.Clock.Now()
+				m.contact.unresponsive.add(member.PeerAddress, now.Add(skipUnresponsive))
+				m.contact.lastFailedPush.Store(&now)
 			}
 		})
 	}
@@ -247,7 +264,7 @@
 	for _, c := range s.Crashes {
 		out.Crashes = append(out.Crashes, &api.EndpointCrash{
 			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service, Address: c.Endpoint.Address, StartedUnixMs: c.Endpoint.StartedUnixMilli,
-			SoftwareVersion: c.Endpoint.SoftwareVersion, Age: durationpb.New(c.Age), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+			SoftwareVersion: c.Endpoint.SoftwareVersion, Age: encodeCrashAge(c), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
 		})
 	}
 	for _, b := range s.Begun {
@@ -266,11 +283,12 @@
 func decodeEvidence(e *api.QuarantineEvidence) quarantine.State {
 	var out quarantine.State
 	for _, c := range e.GetCrashes() {
+		age, unchecked := decodeCrashAge(c.Age.AsDuration())
 		out.Crashes = append(out.Crashes, quarantine.Crash{
 			Endpoint: registry.Endpoint{
 				ID: c.Endpoint, Service: c.Service, Address: c.Address, StartedUnixMilli: c.StartedUnixMs, SoftwareVersion: c.SoftwareVersion,
 			},
-			Age: c.Age.AsDuration(), Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
+			Age: age, Unchecked: unchecked, Parts: c.Parts, FirstParts: c.FirstParts, StoredParts: c.StoredParts,
 		})
 	}
 	for _, b := range e.GetBegun() {
