--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,7 +42,7 @@
 // routes are the kinds of requests.
 var routes = []routeKind{
 	{name: "plan", share: 0.45, stream: true, resumable: true, attempts: 3, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 3}},
-	{name: "dose", share: 0.15, stream: true, resumable: true, attempts: 2, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 1}},
+	{name: "draft", share: 0.15, stream: true, resumable: true, attempts: 2, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 1}},
 	{name: "once", share: 0.1, stream: true, once: true, attempts: 1, config: map[string]any{"mode": "streaming", "priority": 2}},
 	{name: "fetch", share: 0.15, attempts: 3, config: map[string]any{"mode": "idempotent", "priority": 2}},
 	{name: "order", share: 0.15, once: true, attempts: 3, config: map[string]any{"mode": "non_idempotent", "priority": 1}},
