Give connections more time while the own link is full, and blame no endpoint

Cause: an instance with a full link cannot connect within 300 ms. Change: while the link is full (utilization 0.8 until 0.5; linkMbps set, load reports shared, another instance known), connections to endpoints and instances get half of the request's remaining time, 0.3 to 1.5 s. A timeout then ejects no endpoint and no service counts as out of reach, unless no connection to the endpoint was established for 1.5 s while a later one elsewhere was. Refused connections count as before. An endpoint does not count as silent before it has had the request. A timeout still counts as a possible restart, so that versions are as certain as before. Measured (tests with fakes): a connection that takes 600 ms on a full link: 200 from the first endpoint, 0 ejections; on a free link, as before, 2 ejections and a service out of reach. An endpoint out of reach on a full link is ejected within 2.5 s. gateway, linkload, placement and the tests of router for links, readiness, cuts and partitions pass.

--- /dev/null
+++ b/gateway/busylink_test.go
@@ -0,0 +1,202 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pumiceshelf/gateway"
+	"pumiceshelf/linkload"
+	"pumiceshelf/quarantine"
+	"pumiceshelf/routing"
+)
+
+const (
+	usualDialTime = 300 * time.Millisecond
+	slowDialTime  = 600 * time.Millisecond
+	logEjected    = "gateway: endpoint ejected"
+	logOutOfReach = "gateway: service is out of reach, requests are passed on to other instances"
+)
+
+// linkHarness is a gateway whose own network link delays connections, and may count as busy.
+type linkHarness struct {
+	*harness
+	busy atomic.Bool
+	// delay holds the time to connect to an address, which is zero if it is not listed.
+	mu    sync.Mutex
+	delay map[string]time.Duration
+	// linkMetrics holds the counters of the link.
+	linkMetrics metrics.Registry
+	// other is another instance that reaches all endpoints at once.
+	other *harness
+}
+
+// never is a time in which no connection is established.
+const never = time.Hour
+
+func newLinkHarness(busy bool, delay time.Duration, endpoints ...*fakeEndpoint) *linkHarness {
+	h := &linkHarness{harness: newHarness(endpoints...), delay: make(map[string]time.Duration), other: newHarness(endpoints...)}
+	h.busy.Store(busy)
+	for _, e := range endpoints {
+		h.setDelay(e, delay)
+	}
+	h.linkMetrics = h.config.Metrics
+	link := gateway.NewBusyLink(h.busy.Load, h.config.Clock, h.config.Log, h.linkMetrics)
+	h.config.Link, h.config.Self, h.config.Quarantine = link, "front-0", quarantine.New(quarantine.Config{})
+	h.config.Dial = link.Dial(usualDialTime, h.dial)
+	h.config.DialInstance = link.Dial(usualDialTime, (&net.Dialer{}).DialContext)
+	h.config.Delegates = func() []gateway.Delegate {
+		return []gateway.Delegate{{Domain: "hall-a", Address: h.other.server.Listener.Addr().String()}}
+	}
+	h.restart()
+	return h
+}
+
+// linkCount returns the value of a counter of the link.
+func (h *linkHarness) linkCount(name string) int64 {
+	return h.linkMetrics.Get("gateway.link.dials." + name).(metrics.Counter).Count()
+}
+
+func (h *linkHarness) setDelay(e *fakeEndpoint, delay time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.delay[e.registration().Address] = delay
+}
+
+func (h *linkHarness) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	h.mu.Lock()
+	delay := h.delay[address]
+	h.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (h *linkHarness) close() {
+	h.harness.close()
+	h.other.server.Close()
+}
+
+// logged returns the number of log lines with a message.
+func (h *linkHarness) logged(message string) (n int) {
+	for _, e := range h.logs.all() {
+		if e.Message == message {
+			n++
+		}
+	}
+	return n
+}
+
+// TestSlowConnectionsOnABusyLink guards against endpoints that are taken for faulty because connecting to them takes longer on a full
+// link: each retry sends the request over the same link again.
+func TestSlowConnectionsOnABusyLink(t *testing.T) {
+	Convey("Given endpoints to which connecting takes 600 ms", t, func() {
+		newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
+		Convey("on a busy link, the request waits for the connection", func() {
+			h := newLinkHarness(true, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			begin := time.Now()
+			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
+			So(time.Since(begin), ShouldBeBetween, slowDialTime, 2*slowDialTime)
+			So(h.requestCount(), ShouldEqual, 1)
+			So(h.logged(logEjected), ShouldEqual, 0)
+			So(h.linkCount("extended"), ShouldEqual, 1)
+			So(h.logged("gateway: own link is busy, connections get more time"), ShouldEqual, 1)
+		})
+		Convey("also on a link that becomes busy meanwhile, or ceases to be", func() {
+			for _, busy := range []bool{false, true} {
+				h := newLinkHarness(busy, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+				time.AfterFunc(usualDialTime/3, func() { h.busy.Store(!busy) })
+				So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
+				So(h.logged(logEjected), ShouldEqual, 0)
+				h.close()
+			}
+		})
+		Convey("a short objective does not make the endpoint count as silent before it has the request", func() {
+			h := newLinkHarness(true, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			h.changeRoutes(func(r *routing.Route) { r.LatencyObjective = 120 * time.Millisecond })
+			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
+			So(h.requestCount(), ShouldEqual, 1)
+			So(h.logged(logEjected), ShouldEqual, 0)
+		})
+		Convey("on a link that is not busy, the endpoints are ejected, and the request is passed on as before", func() {
+			h := newLinkHarness(false, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
+			So(h.logged(logEjected), ShouldEqual, 2)
+			So(h.logged(logOutOfReach), ShouldEqual, 1)
+			So(h.linkCount("extended"), ShouldEqual, 0)
+			So(h.linkCount("timed_out"), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestTimeoutsOnABusyLink guards against endpoints and services that seem out of reach because the own link is full, and against an
+// endpoint that is out of reach and is not ejected while it is full.
+func TestTimeoutsOnABusyLink(t *testing.T) {
+	newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
+	Convey("if no connection is established on a busy link, no endpoint or service counts as out of reach", t, func() {
+		h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+		Reset(h.close)
+		h.config.Delegates = nil
+		h.restart()
+		begin := time.Now()
+		resp := h.send("POST", "/status/x", "{}", map[string]string{"X-Deadline-Ms": "1400"})
+		So(time.Since(begin), ShouldBeLessThan, 1400*time.Millisecond)
+		So(resp.status, ShouldEqual, 503)
+		So(resp.body, ShouldContainSubstring, "not-run")
+		So(resp.header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(h.requestCount(), ShouldEqual, 0)
+		So(h.logged(logEjected), ShouldEqual, 0)
+		So(h.logged(logOutOfReach), ShouldEqual, 0)
+		So(h.linkCount("timed_out"), ShouldBeGreaterThanOrEqualTo, 2)
+		So(h.linkCount("faults"), ShouldEqual, 0)
+		So(h.counterValue("gateway.repeated.unreachable"), ShouldEqual, 0)
+		So(h.counterValue("gateway.repeated.link-busy"), ShouldBeGreaterThanOrEqualTo, 1)
+		Convey("and the endpoints get requests again at once", func() {
+			for _, e := range h.endpoints {
+				h.setDelay(e, 0)
+			}
+			So(h.send("POST", "/status/x", "{}", nil).status, ShouldEqual, 200)
+		})
+	})
+	Convey("an endpoint that refuses connections is at fault", t, func() {
+		stopped := newEndpoint("i-1")
+		h := newLinkHarness(true, 0, stopped)
+		Reset(h.close)
+		stopped.server.Close()
+		h.send("POST", "/fetch/x", "{}", nil)
+		So(h.logged(logEjected), ShouldEqual, 1)
+		So(h.linkCount("timed_out"), ShouldEqual, 0)
+	})
+	Convey("an endpoint that is out of reach while others are not is ejected within the longer timeout and one connection", t, func() {
+		lost := newEndpoint("i-1")
+		h := newLinkHarness(true, 0, lost, newEndpoint("i-2"), newEndpoint("i-3"))
+		Reset(h.close)
+		h.setDelay(lost, never)
+		begin := time.Now()
+		for h.logged(logEjected) == 0 && time.Since(begin) < 10*time.Second {
+			for range 4 {
+				go h.send("POST", "/fetch/x", "{}", map[string]string{"X-Deadline-Ms": "1000"})
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		So(time.Since(begin), ShouldBeLessThan, linkload.MaxDialTime+time.Second)
+		So(h.linkCount("faults"), ShouldBeGreaterThanOrEqualTo, 1)
+		for _, e := range h.logs.all() {
+			if e.Message == logEjected {
+				So(e.Fields["endpoint"], ShouldEqual, "i-1")
+			}
+		}
+	})
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -103,7 +103,7 @@
 // it: then this one is partitioned from it.
 func (d *crashDetector) check(c *crashCheck) {
 	g := d.gateway
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), g.config.Link.dialTime())
 	defer cancel()
 	conn, err := g.config.Dial(ctx, "tcp", c.endpoint.Address)
 	if err == nil {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -179,26 +179,26 @@
 	if !ok {
 		return
 	}
-	connected := g.connects(ctx, e)
+	err := g.connect(ctx, e)
 	now = g.config.Clock.Now()
-	if !connected {
+	switch {
+	case err == nil:
+		g.reach.Connected(e, now)
+	case !isLinkTimeout(err):
 		g.reach.Failed(e, now)
 		g.reach.OutOfReach(service, listed, now)
-		return
 	}
-	g.reach.Connected(e, now)
 }
 
-// connects reports whether this instance can connect to an endpoint.
-func (g *Gateway) connects(ctx context.Context, e registry.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// connect tries to connect to an endpoint, and closes the connection.
+func (g *Gateway) connect(ctx context.Context, e registry.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Link.dialTime())
 	defer cancel()
 	conn, err := g.config.Dial(ctx, "tcp", e.Address)
-	if err != nil {
-		return false
+	if err == nil {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
-	return true
+	return err
 }
 
 // outOfReach reports whether the request's service is out of reach.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,8 @@
 	// MovesCallers reports whether callers are to close their connections after a response, so that they reach other instances. It may
 	// be nil.
 	MovesCallers func() bool
+	// Link tells whether the own network link is busy. Dial and DialInstance return its errors. If nil, the link is never busy.
+	Link *BusyLink
 	// DialInstance connects to other instances. If nil, it is that of NewDialer with MaxUnackedTime.
 	DialInstance func(ctx context.Context, network, address string) (net.Conn, error)
 	// Dial connects to endpoints. If nil, it is that of NewDialer with MaxEndpointUnackedTime.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -176,7 +176,7 @@
 func (j *job) setDeadline() {
 	limit := j.timeLimit()
 	j.deadline = j.started.Add(limit)
-	j.ctx, j.cancel = context.WithTimeout(j.r.Context(), limit)
+	j.ctx, j.cancel = context.WithTimeout(withRequestDeadline(j.r.Context(), j.deadline), limit)
 }
 
 // identifyCustomer finds the customer by the API key.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,7 +25,7 @@
 	reasonNoConfiguration, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyTruncated,
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonBudgetRationed, reasonBudgetContended, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy, reasonEndpointsPaused, reasonEvacuated,
 	reasonRateLimited, reasonNoRoom, reasonOriginUnknown, reasonVersionUnavailable,
-	reasonUnreachable, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
+	reasonUnreachable, reasonLinkBusy, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
 	reasonTimeout, reasonCallerCanceled, reasonEndpointFailed, reasonMisdirected, reasonQuarantinedPrompt,
 	reasonQuarantinedRequest,
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -15,7 +15,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	t := a.ticket
-	if j.movable != a || !t.UnresponsiveSince(since) {
+	if j.movable != a || !t.UnresponsiveSince(since) || j.delayedByLink(a, 2*period) {
 		return
 	}
 	g := j.gateway
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -36,6 +36,7 @@
 	reasonOriginUnknown      reason = "origin-unknown"
 	reasonVersionUnavailable reason = "version-unavailable"
 	reasonUnreachable        reason = "unreachable"
+	reasonLinkBusy           reason = "link-busy"
 	reasonResponseLost       reason = "answer-lost"
 	reasonResponseMismatch   reason = "answer-of-another-request"
 	reasonUnresponsive       reason = "endpoint-silent"
--- a/gateway/restart.go
+++ b/gateway/restart.go
@@ -41,7 +41,7 @@
 
 // lost records that a connection to an endpoint was lost, or that connecting failed.
 func (d *restartDetector) lost(e registry.Endpoint, r placement.Result) {
-	if r != placement.InvalidResponse && r != placement.Unreachable {
+	if r != placement.InvalidResponse && r != placement.Unreachable && r != placement.NotConnected {
 		return
 	}
 	d.mu.Lock()
@@ -83,7 +83,7 @@
 func (d *restartDetector) check(e registry.Endpoint) {
 	g := d.gateway
 	lostUntil := g.config.Clock.Now().Add(-crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), g.config.Link.dialTime())
 	defer cancel()
 	err := d.connect(ctx, e)
 	d.mu.Lock()
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -166,7 +166,7 @@
 // tried. The caller holds j.mu.
 func (j *job) dropSilentStandby(now time.Time) {
 	s, limit := j.standby, max(firstEventStallFactor*j.route.LatencyObjective, minStallTimeout)
-	if s.state == standbySent && now.Sub(s.sentAt) >= limit && s.attempt.ticket.UnresponsiveSince(s.sentAt) {
+	if s.state == standbySent && now.Sub(s.sentAt) >= limit && s.attempt.ticket.UnresponsiveSince(s.sentAt) && !j.delayedByLink(s.attempt, limit) {
 		j.dropStandby(dropUnresponsive, placement.Unresponsive)
 	}
 }
--- a/gateway/unreached.go
+++ b/gateway/unreached.go
@@ -52,7 +52,7 @@
 
 // probeUnreached connects to an endpoint that load shedding left out, and makes it and its failure domain count again if it can.
 func (s *shedding) probeUnreached(ctx context.Context, e registry.Endpoint) {
-	if !s.gateway.connects(ctx, e) {
+	if s.gateway.connect(ctx, e) != nil {
 		return
 	}
 	s.gateway.config.Chooser.Reached(e)
--- /dev/null
+++ b/linkload/dials.go
@@ -0,0 +1,96 @@
+package linkload
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// MaxDialTime bounds the time to connect to an endpoint or instance while the link is busy. A first packet that is lost is sent again
+	// after a second, and its response may take half a second on a full link.
+	MaxDialTime = 1500 * time.Millisecond
+	// suspicionMemory is the time after which a timeout no longer counts together with the next one of the same address. Most
+	// requests of a caller are over by then.
+	suspicionMemory = 2 * MaxDialTime
+)
+
+// DialTime returns the time to connect for a request with the given remaining time, while the link is busy. It is half of that time,
+// because the request and its response wait on the same link after the connection. It is at least usual, the timeout on a link
+// that is not busy.
+func DialTime(usual, remaining time.Duration) time.Duration {
+	return max(usual, min(remaining/2, MaxDialTime))
+}
+
+// Dials decides whether a connection that timed out while the link was busy is the fault of the other side. The link delays and drops
+// packets of all connections, so a timeout alone does not tell. It is the fault of an address if no connection to it was
+// established for MaxDialTime, while one to another address was that began later: packets get through the link, but not to this address.
+// The zero value is ready to use. It is safe for concurrent use.
+type Dials struct {
+	mu       sync.Mutex
+	suspects map[string]suspect
+	// connections holds the last established connection to each address, for suspicionMemory at least.
+	connections map[string]connection
+	// prunedAt is when old connections were last deleted.
+	prunedAt time.Time
+}
+
+// suspect is an address to which no connection was established since a first one timed out.
+type suspect struct {
+	// since is when the first connection that timed out began, last when the last one timed out.
+	since, last time.Time
+}
+
+type connection struct{ began, established time.Time }
+
+// Connected records that a connection was established that began at the given time.
+func (d *Dials) Connected(address string, began, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.suspects, address)
+	if d.connections == nil {
+		d.connections = make(map[string]connection)
+	}
+	if now.Sub(d.prunedAt) >= suspicionMemory {
+		d.prunedAt = now
+		for other, c := range d.connections {
+			if now.Sub(c.established) > suspicionMemory {
+				delete(d.connections, other)
+			}
+		}
+	}
+	d.connections[address] = connection{began, now}
+}
+
+// TimedOut records that a connection that began at the given time timed out. It reports whether that is the fault of the address.
+func (d *Dials) TimedOut(address string, began, now time.Time) (fault bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.connections[address].established.After(began) {
+		return false
+	}
+	for other, s := range d.suspects {
+		if now.Sub(s.last) > suspicionMemory+MaxDialTime {
+			delete(d.suspects, other)
+		}
+	}
+	s, known := d.suspects[address]
+	if !known || began.Sub(s.last) > suspicionMemory || began.Before(s.since) {
+		s.since = began
+	}
+	s.last = now
+	if d.suspects == nil {
+		d.suspects = make(map[string]suspect)
+	}
+	d.suspects[address] = s
+	return now.Sub(s.since) >= MaxDialTime && d.connectedOther(address, s.since)
+}
+
+// connectedOther reports whether a connection to another address was established that began after the given time.
+func (d *Dials) connectedOther(address string, after time.Time) bool {
+	for other, c := range d.connections {
+		if other != address && c.began.After(after) {
+			return true
+		}
+	}
+	return false
+}
--- a/linkload/linkload.go
+++ b/linkload/linkload.go
@@ -50,6 +50,8 @@
 	// busy is set since changedAt.
 	busy      bool
 	changedAt time.Time
+	// full is set from busyUtilization on, until the utilization is idleUtilization or less.
+	full bool
 }
 
 // New returns a monitor of a link with a rate in bytes per second, the same in both directions.
@@ -88,6 +90,19 @@
 	return m.busy, changed
 }
 
+// Full reports whether packets wait on the link now. Unlike Busy, it follows the utilization alone: the time in or out of rotation
+// does not matter.
+func (m *Monitor) Full(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if utilization := m.utilization(now); m.full {
+		m.full = utilization > idleUtilization
+	} else {
+		m.full = utilization >= busyUtilization
+	}
+	return m.full
+}
+
 // utilization returns the part of the link that is in use, in the direction that is used more.
 func (m *Monitor) utilization(now time.Time) float64 {
 	received, sent := m.received.Load(), m.sent.Load()
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -81,6 +81,6 @@
 		}
 	case Served, Errored, Busy:
 		d.clear()
-	case InvalidResponse, Unresponsive, Canceled:
+	case InvalidResponse, Unresponsive, Canceled, NotConnected:
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,6 +85,9 @@
 	Canceled
 	// Unresponsive means that the endpoint made no progress on this request or any other.
 	Unresponsive
+	// NotConnected means that connecting failed because this instance's network link was busy. The endpoint is not at fault, but it
+	// may have started again meanwhile.
+	NotConnected
 )
 
 // Outcome reports whether an endpoint was chosen and, if not, why.
--- a/placement/state.go
+++ b/placement/state.go
@@ -81,7 +81,7 @@
 	if r == Served || r == Errored || r == Busy {
 		s.recordResponse(now)
 	}
-	if r == InvalidResponse || r == Unreachable || r == Unresponsive {
+	if r == InvalidResponse || r == Unreachable || r == Unresponsive || r == NotConnected {
 		s.lostConnectionAt = now
 	}
 	switch r {
@@ -100,7 +100,7 @@
 	case Busy:
 		s.busyUntil = now.Add(busyPause)
 		return s.busyUntil
-	case Canceled:
+	case Canceled, NotConnected:
 	}
 	return time.Time{}
 }
--- a/router/link.go
+++ b/router/link.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"pumiceshelf/api"
+	"pumiceshelf/gateway"
 	"pumiceshelf/linkload"
 )
 
@@ -32,6 +33,43 @@
 	return busy
 }
 
+// linkFull reports whether packets wait on the link, where linkBusy is in effect.
+func (r *Router) linkFull() bool {
+	return r.sharesLoads() && r.members.Count() >= 2 && r.link.Full(r.config.Clock.Now())
+}
+
+// dialers open the connections of an instance to endpoints and other instances. Those to instances pass requests on, those to members
+// exchange state.
+type dialers struct{ endpoint, instance, member dialFunc }
+
+// connectOverLink returns the dialers of the instance, whose connections are measured and get more time while the link is full.
+func (r *Router) connectOverLink() dialers {
+	if r.link != nil {
+		r.busyLink = gateway.NewBusyLink(r.linkFull, r.config.Clock, r.config.Log, r.config.Metrics)
+	}
+	member := gateway.NewDialer(gateway.MaxUnackedTime)
+	member.Timeout = memberDialTimeout
+	return dialers{
+		endpoint: r.dialOverLink(gateway.NewDialer(gateway.MaxEndpointUnackedTime)),
+		instance: r.dialOverLink(gateway.NewDialer(gateway.MaxUnackedTime)),
+		member:   r.dialOverLink(member),
+	}
+}
+
+// dialOverLink returns the dial function of the configuration or of the given dialer.
+func (r *Router) dialOverLink(d *net.Dialer) dialFunc {
+	usual := d.Timeout
+	if r.busyLink != nil {
+		// The timeout of the busy link applies.
+		d.Timeout = 0
+	}
+	dial := r.config.Dial
+	if dial == nil {
+		dial = d.DialContext
+	}
+	return r.busyLink.Dial(usual, measureDial(r.link, dial))
+}
+
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // measureDial returns a dial function whose connections are measured.
--- a/router/router.go
+++ b/router/router.go
@@ -105,6 +105,8 @@
 
 	// link tells whether the network link of the instance is too busy for more callers, or is nil.
 	link *linkload.Monitor
+	// busyLink gives connections more time while the link is full. It is nil if link is.
+	busyLink *gateway.BusyLink
 	// calls is the access to the store. It counts the calls.
 	calls                 *callCounts
 	members               *members.Members
@@ -136,17 +138,8 @@
 	if c.Listen == nil {
 		c.Listen = (&net.ListenConfig{KeepAliveConfig: gateway.KeepAliveConfig()}).Listen
 	}
-	dialEndpoint, dialMember := c.Dial, c.Dial
-	if c.Dial == nil {
-		dialEndpoint = gateway.NewDialer(gateway.MaxEndpointUnackedTime).DialContext
-		c.Dial = gateway.NewDialer(gateway.MaxUnackedTime).DialContext
-		patient := gateway.NewDialer(gateway.MaxUnackedTime)
-		patient.Timeout = memberDialTimeout
-		dialMember = patient.DialContext
-	}
-	link := newLink(c.Settings)
-	c.Dial, dialEndpoint, dialMember = measureDial(link, c.Dial), measureDial(link, dialEndpoint), measureDial(link, dialMember)
-	r := &Router{config: c, link: link, versions: registry.NewVersionHistory(), contact: &registry.Contact{}, startedAt: c.Clock.Now()}
+	r := &Router{config: c, link: newLink(c.Settings), versions: registry.NewVersionHistory(), contact: &registry.Contact{}, startedAt: c.Clock.Now()}
+	dials := r.connectOverLink()
 	r.freezeGuard = newFreezeGuard(c.Clock, r.endContact)
 	r.publisher = newPublisher(r)
 	r.calls = newCallCounts(c.Store, c.Decoder, c.Metrics)
@@ -167,7 +160,7 @@
 		Self:  &api.FleetMember{Incarnation: string(incarnation), PeerAddress: c.Settings.PeerAddress, Domain: c.Settings.Domain, CallerAddress: c.Settings.CallerAddress},
 		Seeds: c.Settings.SeedPeers,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialMember(ctx, "tcp", address)
+			return dials.member(ctx, "tcp", address)
 		},
 		Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Limits: r.limits, Losses: connectionLosses{r}, AsksForCold: r.coldBound().Overage > 0, Loads: r.loads, Quarantine: r.quarantine, Origins: origin.NewStore(), Versions: r.softwareVersions,
 		Configuration: func() *objectstore.Listing { return r.configurationFollower.Snapshot() },
@@ -184,7 +177,7 @@
 		AcceptReturn: func(back prepaid.Return) bool { return r.prepaid.AcceptReturn(back) },
 		TakeBack:     func(tokens map[string]int64) { r.prepaid.TakeBack(tokens) },
 		CanConnect: func(ctx context.Context, id, address string) bool {
-			return r.canConnect(ctx, dialEndpoint, id, address)
+			return r.canConnect(ctx, dials.endpoint, id, address)
 		},
 		Explain:              func(request *api.ExplainRequest) *api.ExplainReply { return r.gateway.Explain(request) },
 		Unanswered:           func(customer string, tokens int64) { r.prepaid.RecordUnanswered(customer, tokens) },
@@ -209,11 +202,11 @@
 	})
 	r.gateway = gateway.New(gateway.Config{
 		Headers: c.Headers, Budgets: r.prepaid, BudgetView: r.prepaid.View, BudgetRationed: r.prepaid.IsRationed, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Loads: r.loads, Quarantine: r.quarantine, Origins: r.members,
-		SheddingDisabled: c.Settings.SheddingDisabled, MovesCallers: r.linkBusy,
+		SheddingDisabled: c.Settings.SheddingDisabled, MovesCallers: r.linkBusy, Link: r.busyLink,
 		Contact: r.contactState, KnowsOneVersion: r.knowsOneVersion,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
-		Self: c.Settings.Name, MaxBufferedBytes: int64(c.Settings.MemoryMb) << 20 / bufferedMemoryShare, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: c.Dial,
-		AwaitFreshState: r.freezeGuard.Wait, AwaitEvidence: r.members.AwaitEvidence, Dial: dialEndpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
+		Self: c.Settings.Name, MaxBufferedBytes: int64(c.Settings.MemoryMb) << 20 / bufferedMemoryShare, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: dials.instance,
+		AwaitFreshState: r.freezeGuard.Wait, AwaitEvidence: r.members.AwaitEvidence, Dial: dials.endpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
 	r.callerServer = &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
