Do not pass requests on because the own link is full

Change: a request that timed out because the own link is full is not passed on as a last resort. It still is if its endpoints refuse connections or its service is found to be out of reach. An instance that could not be connected to for that reason is not avoided. A request that another instance passed on is refused to it as before. Metric gateway.link.kept. Measured (tests with fakes): without a connection on a full link, 503, not run, 0 requests passed on, before 1; on a free link 1 as before.

--- a/gateway/busylink.go
+++ b/gateway/busylink.go
@@ -24,6 +24,7 @@
 	descLinkExtended = telemetry.Describe("gateway.link.dials.extended", "connections", "Connections that got a longer timeout because the own network link was busy.")
 	descLinkTimeouts = telemetry.Describe("gateway.link.dials.timed_out", "connections", "Connections that timed out while the own network link was busy, which was not taken for a fault of the other side.")
 	descLinkFaults   = telemetry.Describe("gateway.link.dials.faults", "connections", "Connections that timed out while the own network link was busy, which was taken for a fault of the other side because connections elsewhere were established.")
+	descLinkKept     = telemetry.Describe("gateway.link.kept", "requests", "Requests that were not passed on to another instance because connecting to endpoints timed out on the own network link.")
 )
 
 // errDialTimeout is the cancellation cause of a connection that took too long.
@@ -61,7 +62,7 @@
 	log   log.Interface
 	dials linkload.Dials
 
-	extended, timeouts, faults busyLinkCounter
+	extended, timeouts, faults, kept busyLinkCounter
 
 	mu       sync.Mutex
 	loggedAt time.Time
@@ -80,6 +81,7 @@
 		extended: busyLinkCounter{metric: descLinkExtended.Counter(r)},
 		timeouts: busyLinkCounter{metric: descLinkTimeouts.Counter(r)},
 		faults:   busyLinkCounter{metric: descLinkFaults.Counter(r)},
+		kept:     busyLinkCounter{metric: descLinkKept.Counter(r)},
 	}
 }
 
@@ -168,6 +170,7 @@
 		l.loggedAt = now
 		l.log.WithFields(log.Fields{
 			"extended": l.extended.unlogged.Swap(0), "timed_out": l.timeouts.unlogged.Swap(0), "faults": l.faults.unlogged.Swap(0),
+			"kept": l.kept.unlogged.Swap(0),
 		}).Info("gateway: own link is busy, connections get more time")
 	}
 }
@@ -190,3 +193,15 @@
 	at := a.writtenAt.Load()
 	return at == 0 || a.clock.Now().Sub(time.Unix(0, at)) < limit
 }
+
+// keptByLink reports whether the request must not be passed on to another instance because connecting to an endpoint timed out on the own
+// link: the request would take the same bytes of that link again. One that another instance passed on is refused so that it can try
+// others.
+func (j *job) keptByLink() bool {
+	if !j.linkTimedOut || j.delegatedBy != "" {
+		return false
+	}
+	link := j.gateway.config.Link
+	link.count(&link.kept)
+	return true
+}
--- a/gateway/busylink_test.go
+++ b/gateway/busylink_test.go
@@ -31,6 +31,9 @@
 	// delay holds the time to connect to an address, which is zero if it is not listed.
 	mu    sync.Mutex
 	delay map[string]time.Duration
+	// refuse makes endpoints refuse connections, and instanceDelay is the time to connect to the other instance in nanoseconds.
+	refuse        atomic.Bool
+	instanceDelay atomic.Int64
 	// linkMetrics holds the counters of the link.
 	linkMetrics metrics.Registry
 	// other is another instance that reaches all endpoints at once.
@@ -50,7 +53,7 @@
 	link := gateway.NewBusyLink(h.busy.Load, h.config.Clock, h.config.Log, h.linkMetrics)
 	h.config.Link, h.config.Self, h.config.Quarantine = link, "front-0", quarantine.New(quarantine.Config{})
 	h.config.Dial = link.Dial(usualDialTime, h.dial)
-	h.config.DialInstance = link.Dial(usualDialTime, (&net.Dialer{}).DialContext)
+	h.config.DialInstance = link.Dial(usualDialTime, h.dialInstance)
 	h.config.Delegates = func() []gateway.Delegate {
 		return []gateway.Delegate{{Domain: "hall-a", Address: h.other.server.Listener.Addr().String()}}
 	}
@@ -60,7 +63,7 @@
 
 // linkCount returns the value of a counter of the link.
 func (h *linkHarness) linkCount(name string) int64 {
-	return h.linkMetrics.Get("gateway.link.dials." + name).(metrics.Counter).Count()
+	return h.linkMetrics.Get("gateway.link." + name).(metrics.Counter).Count()
 }
 
 func (h *linkHarness) setDelay(e *fakeEndpoint, delay time.Duration) {
@@ -70,9 +73,21 @@
 }
 
 func (h *linkHarness) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if h.refuse.Load() {
+		return refuseConnections(ctx, network, address)
+	}
 	h.mu.Lock()
 	delay := h.delay[address]
 	h.mu.Unlock()
+	return dialAfter(ctx, delay, network, address)
+}
+
+func (h *linkHarness) dialInstance(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialAfter(ctx, time.Duration(h.instanceDelay.Load()), network, address)
+}
+
+// dialAfter connects after a delay.
+func dialAfter(ctx context.Context, delay time.Duration, network, address string) (net.Conn, error) {
 	select {
 	case <-time.After(delay):
 		return (&net.Dialer{}).DialContext(ctx, network, address)
@@ -109,7 +124,7 @@
 			So(time.Since(begin), ShouldBeBetween, slowDialTime, 2*slowDialTime)
 			So(h.requestCount(), ShouldEqual, 1)
 			So(h.logged(logEjected), ShouldEqual, 0)
-			So(h.linkCount("extended"), ShouldEqual, 1)
+			So(h.linkCount("dials.extended"), ShouldEqual, 1)
 			So(h.logged("gateway: own link is busy, connections get more time"), ShouldEqual, 1)
 		})
 		Convey("also on a link that becomes busy meanwhile, or ceases to be", func() {
@@ -135,8 +150,8 @@
 			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
 			So(h.logged(logEjected), ShouldEqual, 2)
 			So(h.logged(logOutOfReach), ShouldEqual, 1)
-			So(h.linkCount("extended"), ShouldEqual, 0)
-			So(h.linkCount("timed_out"), ShouldEqual, 0)
+			So(h.linkCount("dials.extended"), ShouldEqual, 0)
+			So(h.linkCount("dials.timed_out"), ShouldEqual, 0)
 		})
 	})
 }
@@ -159,8 +174,8 @@
 		So(h.requestCount(), ShouldEqual, 0)
 		So(h.logged(logEjected), ShouldEqual, 0)
 		So(h.logged(logOutOfReach), ShouldEqual, 0)
-		So(h.linkCount("timed_out"), ShouldBeGreaterThanOrEqualTo, 2)
-		So(h.linkCount("faults"), ShouldEqual, 0)
+		So(h.linkCount("dials.timed_out"), ShouldBeGreaterThanOrEqualTo, 2)
+		So(h.linkCount("dials.faults"), ShouldEqual, 0)
 		So(h.counterValue("gateway.repeated.unreachable"), ShouldEqual, 0)
 		So(h.counterValue("gateway.repeated.link-busy"), ShouldBeGreaterThanOrEqualTo, 1)
 		Convey("and the endpoints get requests again at once", func() {
@@ -177,7 +192,7 @@
 		stopped.server.Close()
 		h.send("POST", "/fetch/x", "{}", nil)
 		So(h.logged(logEjected), ShouldEqual, 1)
-		So(h.linkCount("timed_out"), ShouldEqual, 0)
+		So(h.linkCount("dials.timed_out"), ShouldEqual, 0)
 	})
 	Convey("an endpoint that is out of reach while others are not is ejected within the longer timeout and one connection", t, func() {
 		lost := newEndpoint("i-1")
@@ -192,7 +207,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		So(time.Since(begin), ShouldBeLessThan, linkload.MaxDialTime+time.Second)
-		So(h.linkCount("faults"), ShouldBeGreaterThanOrEqualTo, 1)
+		So(h.linkCount("dials.faults"), ShouldBeGreaterThanOrEqualTo, 1)
 		for _, e := range h.logs.all() {
 			if e.Message == logEjected {
 				So(e.Fields["endpoint"], ShouldEqual, "i-1")
@@ -200,3 +215,60 @@
 		}
 	})
 }
+
+// TestRequestsOnABusyLinkAreNotPassedOn guards against requests that take the bytes of a full link a second time, on the way to another
+// instance, and against ones that are kept although the own link is free or another instance asks for a decision.
+func TestRequestsOnABusyLinkAreNotPassedOn(t *testing.T) {
+	newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
+	deadline := map[string]string{"X-Deadline-Ms": "1200"}
+	Convey("Given an instance that connects to no endpoint, and another one that does", t, func() {
+		Convey("on a busy link, the request is refused and has not run", func() {
+			h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			resp := h.send("POST", "/status/x", "{}", deadline)
+			So(resp.status, ShouldEqual, 503)
+			So(resp.body, ShouldContainSubstring, "not-run")
+			So(h.requestCount(), ShouldEqual, 0)
+			So(h.linkCount("kept"), ShouldEqual, 1)
+			So(h.counterValue("gateway.delegated"), ShouldEqual, 0)
+		})
+		Convey("on a free link, it is passed on", func() {
+			h := newLinkHarness(false, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			So(h.send("POST", "/status/x", "{}", deadline).status, ShouldEqual, 200)
+			So(h.linkCount("kept"), ShouldEqual, 0)
+			So(h.counterValue("gateway.delegated"), ShouldEqual, 1)
+		})
+		Convey("on a busy link, it is passed on if the endpoints refuse connections", func() {
+			h := newLinkHarness(true, 0, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			h.refuse.Store(true)
+			So(h.send("POST", "/status/x", "{}", deadline).status, ShouldEqual, 200)
+			So(h.counterValue("gateway.delegated"), ShouldEqual, 1)
+		})
+		Convey("an instance with a busy link tells one that passed the request on to try another one", func() {
+			h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			Reset(h.close)
+			resp := h.send("POST", "/status/x", "{}", map[string]string{"X-Deadline-Ms": "1200", "Pumiceshelf-Delegated-By": "front-7"})
+			So(resp.status, ShouldEqual, 503)
+			So(resp.header.Get("Pumiceshelf-Out-Of-Reach"), ShouldEqual, "1")
+			So(h.linkCount("kept"), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestInstancesAreNotAvoidedForABusyLink guards against other instances that get no requests because the own link is full.
+func TestInstancesAreNotAvoidedForABusyLink(t *testing.T) {
+	Convey("Given a service out of reach on a busy link, and another instance to which connecting times out once", t, func() {
+		h := newLinkHarness(true, 0, newFakeEndpoint("i-1", respondWith(200, "ok")))
+		Reset(h.close)
+		h.refuse.Store(true)
+		h.instanceDelay.Store(int64(never))
+		So(h.send("POST", "/status/x", "{}", map[string]string{"X-Deadline-Ms": "1200"}).status, ShouldEqual, 503)
+		Convey("the next request is passed on to it", func() {
+			h.instanceDelay.Store(0)
+			So(h.send("POST", "/status/x", "{}", nil).status, ShouldEqual, 200)
+			So(h.counterValue("gateway.delegated"), ShouldEqual, 1)
+		})
+	})
+}
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -217,9 +217,9 @@
 }
 
 // delegateLate does the same for a request that was sent to no endpoint because connecting failed, as the last resort also if
-// the service does not count as out of reach.
+// the service does not count as out of reach, unless the own link was busy.
 func (j *job) delegateLate(lastResort bool) *refusal {
-	if j.sentCount > 0 || j.mayHaveRun || j.dialFailures == 0 || !lastResort && !j.outOfReach() {
+	if j.sentCount > 0 || j.mayHaveRun || j.dialFailures == 0 || !j.outOfReach() && (!lastResort || j.keptByLink()) {
 		return nil
 	}
 	return j.delegate()
@@ -248,14 +248,13 @@
 			j.answered = true
 			return end
 		}
-		g.delegates.avoid(d.Address, g.config.Clock.Now())
 	}
 	j.logger().WithField("service", j.service).Info("gateway: no other instance reaches the service")
 	return nil
 }
 
 // passOn sends the request to another instance and relays its response. It returns false if that instance has not run the request
-// and another one may get it.
+// and another one may get it. Unless that is due to the own link, the instance is avoided for a while.
 func (j *job) passOn(d Delegate) (passed bool, end *refusal) {
 	g := j.gateway
 	var written atomic.Bool
@@ -266,6 +265,9 @@
 	switch {
 	case err != nil && !written.Load():
 		logger.WithError(err).Info("gateway: request not passed on to another instance")
+		if !isLinkTimeout(err) {
+			g.delegates.avoid(d.Address, g.config.Clock.Now())
+		}
 		return false, nil
 	case err != nil:
 		logger.WithError(err).Info("gateway: no response from the other instance")
@@ -274,6 +276,7 @@
 	defer resp.Body.Close()
 	if resp.Header.Get(outOfReachHeader) != "" && resp.StatusCode == http.StatusServiceUnavailable {
 		logger.Info("gateway: the other instance does not reach the service either")
+		g.delegates.avoid(d.Address, g.config.Clock.Now())
 		return false, nil
 	}
 	if id := g.config.Headers.ParseResponse(resp.StatusCode, resp.Header).RequestID; id != "" && id != j.meta.ID {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -246,6 +246,7 @@
 	result := placement.Served
 	if f != nil {
 		result = f.result
+		j.linkTimedOut = j.linkTimedOut || f.reason == reasonLinkBusy
 		if j.r.Context().Err() != nil {
 			f.reason, result = reasonCallerCanceled, placement.Canceled
 		} else if j.ctx.Err() != nil {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -62,6 +62,8 @@
 	// could not reach the endpoint.
 	sentCount, dialFailures int
 	triedEndpoints          map[string]bool
+	// linkTimedOut is set once connecting to an endpoint timed out because the own link was busy.
+	linkTimedOut bool
 	// lastErrorResponse is the last failure that includes a response of an endpoint.
 	lastErrorResponse *failure
 
