Keep an instance that is busy again soon out of rotation for longer

Cause: an instance whose link was full returned after 3 to 10 s, got the same callers back, and was full again 1.5 s later. Change: the least time out of rotation, 3 s, doubles each time that the link is busy again within 10 s of the return, up to the 10 s that bound it already; after 10 s in rotation it is 3 s again.

--- a/linkload/linkload.go
+++ b/linkload/linkload.go
@@ -34,6 +34,9 @@
 	// rate of its link. minFreeTime is the least time between two of these periods, in which the load balancer sees it ready.
 	minBusyTime, maxBusyTime = 3 * time.Second, 10 * time.Second
 	minFreeTime              = 1500 * time.Millisecond
+	// calmTime is the time in rotation after which the least time out of rotation is minBusyTime again. It doubles each time that the link
+	// becomes busy earlier: the callers that the load balancer then sends back are those that had filled the link before.
+	calmTime = maxBusyTime
 )
 
 // Monitor measures the utilization of one link.
@@ -50,6 +53,8 @@
 	// busy is set since changedAt.
 	busy      bool
 	changedAt time.Time
+	// relapses counts how often in a row the link became busy before it was free for calmTime.
+	relapses int
 	// full is set from busyUtilization on, until the utilization is idleUtilization or less.
 	full bool
 }
@@ -81,8 +86,13 @@
 	switch {
 	case !m.busy:
 		changed = utilization >= busyUtilization && lasted >= minFreeTime
+		if changed && lasted < calmTime {
+			m.relapses++
+		} else if changed {
+			m.relapses = 0
+		}
 	default:
-		changed = lasted >= maxBusyTime || lasted >= minBusyTime && utilization <= idleUtilization
+		changed = lasted >= maxBusyTime || lasted >= leastBusyTime(m.relapses) && utilization <= idleUtilization
 	}
 	if changed {
 		m.busy, m.changedAt = !m.busy, now
@@ -90,6 +100,13 @@
 	return m.busy, changed
 }
 
+// leastBusyTime returns the least time for which the link counts as busy, after a number of relapses.
+func leastBusyTime(relapses int) time.Duration {
+	// Further doublings are beyond maxBusyTime.
+	const maxDoublings = 4
+	return min(minBusyTime<<min(relapses, maxDoublings), maxBusyTime)
+}
+
 // Full reports whether packets wait on the link now. Unlike Busy, it follows the utilization alone: the time in or out of rotation
 // does not matter.
 func (m *Monitor) Full(now time.Time) bool {
--- a/linkload/linkload_test.go
+++ b/linkload/linkload_test.go
@@ -92,3 +92,61 @@
 		})
 	})
 }
+
+// outOfRotation plays callers that fill the link as soon as the instance is in rotation, and leave two seconds after it is out of it, as the
+// load balancer moves them. It returns how long the instance was out of rotation each time, and the part of the time in which the link was full.
+func (l *link) outOfRotation(span time.Duration) (periods []time.Duration, full float64) {
+	begin, busySince, steps, fullSteps := l.now, time.Time{}, 0, 0
+	for l.now.Sub(begin) < span {
+		wasBusy, load := l.busy(), 0.1
+		if !wasBusy || l.now.Sub(busySince) < 2*time.Second {
+			load = 1
+		}
+		l.run(step, load, 0.1)
+		steps++
+		if load == 1 {
+			fullSteps++
+		}
+		switch busy := l.busy(); {
+		case busy && !wasBusy:
+			busySince = l.now
+		case !busy && wasBusy:
+			periods = append(periods, l.now.Sub(busySince).Round(100*time.Millisecond))
+		}
+	}
+	return periods, float64(fullSteps) / float64(steps)
+}
+
+// TestReturnOfABusyInstance guards against an instance that returns every few seconds to the callers that fill its link, against one that
+// stays out of rotation for good, and against one that stays out for long after a single later burst.
+func TestReturnOfABusyInstance(t *testing.T) {
+	Convey("Given an instance whose callers fill its link whenever it is in rotation", t, func() {
+		l := &link{monitor: linkload.New(linkRate), now: time.Unix(1000, 0)}
+		l.run(5*time.Second, 0.1, 0.1)
+		periods, full := l.outOfRotation(60 * time.Second)
+		t.Logf("out of rotation for %v, link full for %.2f of the time", periods, full)
+
+		Convey("it stays out for longer each time, and returns after ten seconds at the latest", func() {
+			So(len(periods), ShouldBeGreaterThanOrEqualTo, 4)
+			So(periods[:4], ShouldResemble, []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second, 10 * time.Second})
+		})
+		// Of 11.5 s, it is in rotation for 1.5 s, and its callers leave 2 s later.
+		Convey("the link is full for less than half of the time", func() {
+			So(full, ShouldBeLessThan, 0.5)
+		})
+		Convey("after a calm period it stays out for the shortest time again, after a shorter one it does not", func() {
+			for l.busy() {
+				l.run(step, 0.1, 0.1)
+			}
+			l.run(9*time.Second, 0.1, 0.1)
+			periods, _ := l.outOfRotation(15 * time.Second)
+			So(periods, ShouldResemble, []time.Duration{10 * time.Second})
+			for l.busy() {
+				l.run(step, 0.1, 0.1)
+			}
+			l.run(11*time.Second, 0.1, 0.1)
+			periods, _ = l.outOfRotation(5 * time.Second)
+			So(periods, ShouldResemble, []time.Duration{3 * time.Second})
+		})
+	})
+}
