Close the connection after a refusal while the own link is busy

Cause: callers were asked to close their connections after responses of endpoints, but not after refusals, so refused callers came back on the same connection to the instance whose link is busy. Measured: the new test fails before at the refusal (connection kept) and passes now; a response already ended the connection of a caller that ignores the header. gateway, linkload and admin pass.

--- a/gateway/busylink.go
+++ b/gateway/busylink.go
@@ -205,3 +205,10 @@
 	link.count(&link.kept)
 	return true
 }
+
+// movesCaller reports whether the caller is asked to close its connection after the response, so that it reaches another instance. The
+// server closes it if the caller does not.
+func (j *job) movesCaller() bool {
+	moves := j.gateway.config.MovesCallers
+	return moves != nil && moves()
+}
--- a/gateway/busylink_test.go
+++ b/gateway/busylink_test.go
@@ -1,8 +1,14 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -272,3 +278,38 @@
 		})
 	})
 }
+
+// TestCallersThatIgnoreTheRequestToClose guards against callers that keep their connections to an instance whose link is busy, and against
+// connections that end although it is not.
+func TestCallersThatIgnoreTheRequestToClose(t *testing.T) {
+	Convey("the instance closes the connection after the response or refusal that asks for it, and after no other", t, func() {
+		h := newHarness(newFakeEndpoint("i-1", respondWith(200, "ok")))
+		Reset(func() { h.close() })
+		var moves atomic.Bool
+		h.config.MovesCallers = moves.Load
+		h.restart()
+		for _, c := range []struct {
+			key    string
+			status int
+			moves  bool
+		}{{"key", 200, true}, {"unknown", 401, true}, {"key", 200, false}, {"unknown", 401, false}} {
+			moves.Store(c.moves)
+			conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+			So(err, ShouldBeNil)
+			reader := bufio.NewReader(conn)
+			_, err = fmt.Fprintf(conn, "POST /fetch/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: id-1\r\nApi-Key: %s\r\nContent-Length: 2\r\n\r\n{}", c.key)
+			So(err, ShouldBeNil)
+			resp, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, c.status)
+			So(resp.Close, ShouldEqual, c.moves)
+			// A connection that is kept shows nothing until the deadline.
+			So(conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)), ShouldBeNil)
+			_, err = reader.ReadByte()
+			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldEqual, !c.moves)
+			So(conn.Close(), ShouldBeNil)
+		}
+	})
+}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -299,6 +299,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.status = r.status
+	if j.movesCaller() {
+		j.w.Header().Set("Connection", "close")
+	}
 	r.write(j.w, j.gateway.config.Headers, j.meta.ID)
 }
 
