--- a/router/link_test.go
+++ b/router/link_test.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/api"
@@ -102,3 +103,49 @@
 		})
 	})
 }
+
+// TestTimeoutsOverTheLink guards against connections without a timeout, and against a longer one while the link is free: an endpoint on a
+// lost path would hold requests.
+func TestTimeoutsOverTheLink(t *testing.T) {
+	Convey("Given an instance with a known link, and others to which no connection is established", t, func() {
+		clock := clockwork.NewRealClock()
+		logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+		r := &Router{
+			config: Config{
+				Clock: clock, Log: logger, Metrics: metrics.NewRegistry(),
+				Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				},
+			},
+			link: newLink(&api.RouterSettings{LinkMbps: 1}), loads: endpointload.New(),
+			members: members.New(members.Config{
+				Incarnation: instance.NewIncarnation("front-1"), Self: &api.FleetMember{PeerAddress: "front-1"}, Clock: clock, Log: logger, Seeds: []string{"front-2"},
+			}),
+		}
+		r.loads.Record(registry.Endpoint{ID: "i-1"}, endpointload.Report{Slots: 8, WorkTime: 1}, clock.Now())
+		dials := r.connectOverLink()
+		measure := func(dial dialFunc) time.Duration {
+			begin := time.Now()
+			_, err := dial(context.Background(), "tcp", "i-1")
+			So(err, ShouldNotBeNil)
+			return time.Since(begin)
+		}
+		Convey("the usual timeouts apply while the link is free", func() {
+			So(r.linkFull(), ShouldBeFalse)
+			So(measure(dials.endpoint), ShouldBeBetween, 300*time.Millisecond, memberDialTimeout)
+			So(measure(dials.instance), ShouldBeBetween, 300*time.Millisecond, memberDialTimeout)
+			So(measure(dials.member), ShouldBeBetween, memberDialTimeout, linkload.MaxDialTime)
+		})
+		Convey("a longer one applies while it is full", func() {
+			r.linkFull()
+			r.link.Received(1_000_000)
+			time.Sleep(50 * time.Millisecond)
+			So(r.linkFull(), ShouldBeTrue)
+			for _, dial := range []dialFunc{dials.endpoint, dials.instance, dials.member} {
+				So(measure(dial), ShouldBeBetween, linkload.MaxDialTime, 2*linkload.MaxDialTime)
+				r.link.Received(1_000_000)
+			}
+		})
+	})
+}
