Merge connections over a full link, and longer stays out of rotation

Cause: an instance with a full link took its own failed connections for faults of endpoints, and got the same callers back 1.5 s after it returned.

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -62,6 +62,8 @@
 	// could not reach the endpoint.
 	sentCount, dialFailures int
 	triedEndpoints          map[string]bool
+	// linkTimedOut is set once connecting to an endpoint timed out because the own link was busy.
+	linkTimedOut bool
 	// lastErrorResponse is the last failure that includes a response of an endpoint.
 	lastErrorResponse *failure
 
@@ -176,7 +178,7 @@
 func (j *job) setDeadline() {
 	limit := j.timeLimit()
 	j.deadline = j.started.Add(limit)
-	j.ctx, j.cancel = context.WithTimeout(j.r.Context(), limit)
+	j.ctx, j.cancel = context.WithTimeout(withRequestDeadline(j.r.Context(), j.deadline), limit)
 }
 
 // identifyCustomer finds the customer by the API key.
@@ -297,6 +299,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.status = r.status
+	if j.movesCaller() {
+		j.w.Header().Set("Connection", "close")
+	}
 	r.write(j.w, j.gateway.config.Headers, j.meta.ID)
 }
 
--- a/router/link_test.go
+++ b/router/link_test.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/api"
@@ -50,10 +51,13 @@
 			So(err, ShouldBeNil)
 			clock.Advance(500 * time.Millisecond)
 		}
-		Convey("it is busy", func() {
+		Convey("it is busy, and connections get more time", func() {
 			r := newRouter(1, "front-2")
 			read(r)
 			So(r.linkBusy(), ShouldBeTrue)
+			So(r.linkFull(), ShouldBeTrue)
+			clock.Advance(time.Second)
+			So(r.linkFull(), ShouldBeFalse)
 		})
 		Convey("it is not if its link can carry that, or its rate is not known", func() {
 			for _, mbps := range []float64{0, 100} {
@@ -66,10 +70,17 @@
 			r := newRouter(1)
 			read(r)
 			So(r.linkBusy(), ShouldBeFalse)
+			So(r.linkFull(), ShouldBeFalse)
 			r = newRouter(1, "front-2")
 			r.loads = endpointload.New()
 			read(r)
 			So(r.linkBusy(), ShouldBeFalse)
+			So(r.linkFull(), ShouldBeFalse)
+		})
+		Convey("connections get the usual time if its rate is not known", func() {
+			r := newRouter(0, "front-2")
+			r.connectOverLink()
+			So(r.busyLink, ShouldBeNil)
 		})
 		Convey("connections that are accepted are measured as well", func() {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,3 +103,49 @@
 		})
 	})
 }
+
+// TestTimeoutsOverTheLink guards against connections without a timeout, and against a longer one while the link is free: an endpoint on a
+// lost path would hold requests.
+func TestTimeoutsOverTheLink(t *testing.T) {
+	Convey("Given an instance with a known link, and others to which no connection is established", t, func() {
+		clock := clockwork.NewRealClock()
+		logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+		r := &Router{
+			config: Config{
+				Clock: clock, Log: logger, Metrics: metrics.NewRegistry(),
+				Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				},
+			},
+			link: newLink(&api.RouterSettings{LinkMbps: 1}), loads: endpointload.New(),
+			members: members.New(members.Config{
+				Incarnation: instance.NewIncarnation("front-1"), Self: &api.FleetMember{PeerAddress: "front-1"}, Clock: clock, Log: logger, Seeds: []string{"front-2"},
+			}),
+		}
+		r.loads.Record(registry.Endpoint{ID: "i-1"}, endpointload.Report{Slots: 8, WorkTime: 1}, clock.Now())
+		dials := r.connectOverLink()
+		measure := func(dial dialFunc) time.Duration {
+			begin := time.Now()
+			_, err := dial(context.Background(), "tcp", "i-1")
+			So(err, ShouldNotBeNil)
+			return time.Since(begin)
+		}
+		Convey("the usual timeouts apply while the link is free", func() {
+			So(r.linkFull(), ShouldBeFalse)
+			So(measure(dials.endpoint), ShouldBeBetween, 300*time.Millisecond, memberDialTimeout)
+			So(measure(dials.instance), ShouldBeBetween, 300*time.Millisecond, memberDialTimeout)
+			So(measure(dials.member), ShouldBeBetween, memberDialTimeout, linkload.MaxDialTime)
+		})
+		Convey("a longer one applies while it is full", func() {
+			r.linkFull()
+			r.link.Received(1_000_000)
+			time.Sleep(50 * time.Millisecond)
+			So(r.linkFull(), ShouldBeTrue)
+			for _, dial := range []dialFunc{dials.endpoint, dials.instance, dials.member} {
+				So(measure(dial), ShouldBeBetween, linkload.MaxDialTime, 2*linkload.MaxDialTime)
+				r.link.Received(1_000_000)
+			}
+		})
+	})
+}
