Check in the soak test that urgent requests get scarce prepaid tokens first

Cause: the soak test had no outage of the store for all instances and no customer with requests of two ranks, so it did not cover rationing. Change: an outage from 10 to 13.4 s of a cycle, and a fourth customer with a long and a short urgent request at a time to the same instance. RANK compares the shares served from the first refusal for want of tokens to the end of the outage; with under 100 requests of a rank not_checked says so. REFUSED includes 402. The evacuation comes 1 to 1.5 s earlier, the second leaving endpoints, the second burst and the kill of all instances after the outage.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -20,8 +20,10 @@
 	callTimeout, callMargin = 6500 * time.Millisecond, 500 * time.Millisecond
 	// callerDialTimeout bounds connecting to an instance. One that is stopped accepts connections until its queue is full.
 	callerDialTimeout = time.Second
-	// promptTokens is the number of tokens of each prompt.
-	promptTokens = 1600
+	// promptTokens is the number of tokens of each prompt, but for those of calls in pairs, which pairCustomer makes on urgentRoute and
+	// otherRoute. Of these, urgent calls need a seventh of the tokens, as in docs/design/rationing.md.
+	promptTokens, urgentPromptTokens, otherPromptTokens = 1600, 400, 2640
+	urgentRoute, otherRoute, pairCustomer               = "ask", "report", "scarce"
 	// maxResumptions is how often a caller takes up a stream again, firstPause the time before it does first. It doubles each time, up to
 	// maxPause. After a kill of all instances, these are not certain of versions for some 5 s.
 	maxResumptions, firstPause, maxPause = 10, 300 * time.Millisecond, 2 * time.Second
@@ -35,29 +37,37 @@
 	share float64
 	// stream is set for streams, resumable for streams that callers resume, once for requests that may run at most once.
 	stream, resumable, once bool
-	attempts                int
+	attempts, promptTokens  int
 	config                  map[string]any
 }
 
 // routes are the kinds of requests.
 var routes = []routeKind{
-	{name: "plan", share: 0.45, stream: true, resumable: true, attempts: 3, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 3}},
-	{name: "draft", share: 0.15, stream: true, resumable: true, attempts: 2, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 1}},
-	{name: "once", share: 0.1, stream: true, once: true, attempts: 1, config: map[string]any{"mode": "streaming", "priority": 2}},
+	{name: "plan", share: 0.45, stream: true, resumable: true, attempts: 3, promptTokens: promptTokens, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 3}},
+	{name: "draft", share: 0.15, stream: true, resumable: true, attempts: 2, promptTokens: promptTokens, config: map[string]any{"mode": "streaming", "resumable": true, "priority": 1}},
+	{name: "once", share: 0.1, stream: true, once: true, attempts: 1, promptTokens: promptTokens, config: map[string]any{"mode": "streaming", "priority": 2}},
 	{name: "fetch", share: 0.15, attempts: 3, config: map[string]any{"mode": "idempotent", "priority": 2}},
 	{name: "order", share: 0.15, once: true, attempts: 3, config: map[string]any{"mode": "non_idempotent", "priority": 1}},
+	{name: urgentRoute, stream: true, attempts: 3, promptTokens: urgentPromptTokens, config: map[string]any{"mode": "streaming", "priority": 1}},
+	{name: otherRoute, stream: true, attempts: 3, promptTokens: otherPromptTokens, config: map[string]any{"mode": "streaming", "priority": 3}},
 }
 
+// pairRoutes are those of calls in pairs: an urgent call and another one of pairCustomer at the same time to the same instance, so that faults
+// of instances concern both alike.
+var pairRoutes = routes[len(routes)-2:]
+
 // customer is a customer with the share of the calls that it makes.
 type customer struct {
 	name  string
 	share float64
-	// prepaidSeconds is the number of seconds in which it would spend what is granted at a time if all its calls were served.
+	// prepaidSeconds is the number of seconds in which the calls of all customers, but those in pairs, would spend what it is granted at a time.
 	prepaidSeconds float64
+	priority       int
 }
 
-// customers has one that never runs out of tokens and two that do.
-var customers = []customer{{"large", 0.6, 1000}, {"medium", 0.25, 16}, {"small", 0.15, 8}}
+// customers has one whose tokens last and one whose tokens do not. Those of the third run out after some 5 s: its calls all have the last rank,
+// so that no tokens are kept. Calls in pairs would spend those of the last one in 3 s.
+var customers = []customer{{"large", 0.6, 600, 0}, {"medium", 0.25, 4, 1}, {"small", 0.15, 0.7, 3}, {pairCustomer, 0, 3, 1}}
 
 // call is one request of a caller, with what the caller got.
 type call struct {
@@ -92,8 +102,8 @@
 	lastID  int
 	random  *rand.Rand
 	running sync.WaitGroup
-	// rate is the number of new calls per second.
-	rate float64
+	// rate is the number of new calls per second, pairs that of calls in pairs.
+	rate, pairs float64
 }
 
 func newCallers(seed uint64, rate float64, pick func(float64) *instance) *callers {
@@ -103,11 +113,11 @@
 	}}}
 }
 
-// setRate changes the number of new calls per second.
-func (cs *callers) setRate(rate float64) {
+// setRate changes a number of new calls per second.
+func (cs *callers) setRate(rate *float64, value float64) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.rate = rate
+	*rate = value
 }
 
 // run sends calls until the context ends, and returns once all have ended.
@@ -115,28 +125,29 @@
 	next := time.Now()
 	for {
 		cs.mu.Lock()
-		next = next.Add(time.Duration(cs.random.ExpFloat64() / cs.rate * float64(time.Second)))
-		kind := pickShare(routes, func(k routeKind) float64 { return k.share }, cs.random.Float64())
+		next = next.Add(time.Duration(cs.random.ExpFloat64() / (cs.rate + cs.pairs) * float64(time.Second)))
+		kinds := []*routeKind{pickShare(routes, func(k routeKind) float64 { return k.share }, cs.random.Float64())}
 		from := pickShare(customers, func(c customer) float64 { return c.share }, cs.random.Float64())
-		toward, cancels, after := cs.random.Float64(), cs.random.Float64() < canceledShare, cs.random.Float64()
+		toward, canceled, givesUp := cs.random.Float64(), cs.random.Float64() < canceledShare, time.Duration(cs.random.Float64()*float64(giveUpAfter))
+		if cs.pairs > cs.random.Float64()*(cs.rate+cs.pairs) {
+			first := cs.random.IntN(2)
+			kinds, from, canceled = []*routeKind{&pairRoutes[first], &pairRoutes[1-first]}, &customers[len(customers)-1], false
+		}
 		cs.mu.Unlock()
 		if !sleep(ctx, time.Until(next)) {
 			cs.running.Wait()
 			return
 		}
-		c := cs.newCall(kind, from.name)
-		c.key = "key-" + c.id
-		cs.running.Go(func() {
-			if cancels {
-				c.canceled = true
-				cs.send(c, toward, time.Duration(after*float64(giveUpAfter)))
-				return
-			}
-			cs.send(c, toward, callTimeout)
-			if kind.resumable {
-				cs.resume(ctx, c)
-			}
-		})
+		for _, kind := range kinds {
+			c := cs.newCall(kind, from.name)
+			c.canceled = canceled
+			cs.running.Go(func() {
+				cs.send(c, toward, map[bool]time.Duration{true: givesUp, false: callTimeout}[canceled])
+				if kind.resumable && !canceled {
+					cs.resume(ctx, c)
+				}
+			})
+		}
 	}
 }
 
@@ -164,7 +175,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.lastID++
-	c := &call{id: fmt.Sprintf("id-%06d", cs.lastID), route: kind, customer: from}
+	c := &call{id: fmt.Sprintf("id-%06d", cs.lastID), key: fmt.Sprintf("key-id-%06d", cs.lastID), route: kind, customer: from}
 	cs.calls = append(cs.calls, c)
 	return c
 }
@@ -208,9 +219,10 @@
 	req.Header.Set("Api-Key", c.customer+"-api")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint((callTimeout - callMargin).Milliseconds()))
 	if c.route.stream {
-		session := fmt.Sprintf("s%d", int(toward*200))
-		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", promptTokens, streamEvents*tokensPerEvent))
-		req.Header.Set("X-Prefix-Hash", "c0:800,"+session+":600,"+c.key+":200")
+		prompt := c.route.promptTokens
+		req.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", prompt, streamEvents*tokensPerEvent))
+		// Half of a prompt is the same for all calls of that length, three eighths are those of a session.
+		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("c%d:%d,s%d-%d:%d,%s:%d", prompt, prompt/2, prompt, int(toward*200), prompt*3/8, c.key, prompt/8))
 	}
 	if c.resumes != "" {
 		req.Header.Set("Resumes", c.resumes)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,12 +21,14 @@
 	stallTime, tickTime = 200 * time.Millisecond, 20 * time.Millisecond
 	// extraRuns is how many endpoints a request may run on beyond the attempts of its route.
 	extraRuns = 3
+	// maxRankDeficit is by how much the share served of urgent requests may be lower than that of others, if there are minRankCalls of each.
+	maxRankDeficit, minRankCalls = 0.03, 100
 )
 
 // violation is one violated guarantee.
 type violation struct {
 	// rule is the name of the rule, as in docs/design/hard-load-proof.md; ANSWER for a response that is not that of the endpoint, EXIT
-	// for a process that ended on its own.
+	// for a process that ended on its own, RANK for the share served of urgent requests.
 	rule, text string
 	at         time.Time
 	// request and endpoint are those concerned, or empty.
@@ -41,11 +43,16 @@
 	// runs holds the arrivals that ran by request, in order.
 	runs       map[string][]arrival
 	violations []violation
+	// extra holds figures for Result.Extra. notChecked describes what was not checked, since there was too little of it. overspent is the number
+	// of tokens spent beyond those granted.
+	extra      map[string]float64
+	notChecked []string
+	overspent  int64
 }
 
 // observe collects what callers and endpoints saw, in order.
 func (s *soak) observe() *observations {
-	o := &observations{calls: s.callers.calls, byID: make(map[string]*call), runs: make(map[string][]arrival)}
+	o := &observations{calls: s.callers.calls, byID: make(map[string]*call), runs: make(map[string][]arrival), extra: make(map[string]float64), notChecked: []string{}}
 	for _, c := range o.calls {
 		o.byID[c.id] = c
 	}
@@ -79,6 +86,7 @@
 		}
 	}
 	s.checkSpending(o)
+	s.checkRanks(o)
 	s.checkLate(o)
 	s.checkCold(o)
 	for _, in := range s.instances {
@@ -91,7 +99,7 @@
 
 // notRun reports whether the response to a call guarantees that the request did not run and never will.
 func (c *call) notRun() bool {
-	return c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests || c.outcome == "not-run"
+	return slices.Contains([]int{http.StatusPaymentRequired, http.StatusTooManyRequests, http.StatusServiceUnavailable}, c.status) || c.outcome == "not-run"
 }
 
 // checkRuns checks how often the request of a call ran.
@@ -152,7 +160,7 @@
 	if !c.route.stream || len(o.runs[c.id]) == 0 {
 		return 0
 	}
-	tokens := int64(promptTokens)
+	tokens := int64(c.route.promptTokens)
 	if c.status == http.StatusOK {
 		tokens += int64(c.events() * tokensPerEvent)
 	}
@@ -164,17 +172,52 @@
 	ended := slices.Clone(o.calls)
 	slices.SortStableFunc(ended, func(a, b *call) int { return a.ended.Compare(b.ended) })
 	for _, cu := range customers {
-		spent := int64(0)
+		spent, exceeded := int64(0), false
 		for _, c := range ended {
 			if c.customer != cu.name {
 				continue
 			}
 			spent += o.spent(c)
-			if total := s.grantedAt(cu.name, c.ended); spent > total {
+			if total := s.grantedAt(cu.name, c.ended); spent > total && !exceeded {
+				exceeded = true
 				o.violate(violation{rule: "BUDGET", at: c.ended, request: c.id, text: fmt.Sprintf("%s had spent at least %d tokens of %d with the end of %s", cu.name, spent, total, c.id)})
-				break
 			}
 		}
+		total := s.grantedAt(cu.name, time.Now())
+		o.overspent += max(spent-total, 0)
+		o.extra["spent_share_"+cu.name] = float64(spent) / float64(max(total, 1))
+	}
+}
+
+// checkRanks checks that urgent calls in pairs are served at least as well as the others while tokens are short: after the first refusal for
+// want of tokens in an outage of the store, until its end.
+func (s *soak) checkRanks(o *observations) {
+	for _, outage := range s.outages {
+		var first *call
+		asked, served := make(map[string]float64), make(map[string]float64)
+		for _, c := range o.calls {
+			switch {
+			case c.customer != pairCustomer || c.at.Before(outage.from) || c.at.After(outage.to):
+			case first != nil:
+				asked[c.route.name]++
+				if c.complete() {
+					served[c.route.name]++
+				}
+			case strings.HasPrefix(c.title, "budget-"):
+				first = c
+			}
+		}
+		text := fmt.Sprintf("%.0f of %.0f urgent and %.0f of %.0f other requests were served while tokens were short in the outage at %s", served[urgentRoute],
+			asked[urgentRoute], served[otherRoute], asked[otherRoute], outage.from.Format(timeFormat))
+		if min(asked[urgentRoute], asked[otherRoute]) < minRankCalls {
+			o.notChecked = append(o.notChecked, "RANK: "+text)
+		} else if served[urgentRoute]/asked[urgentRoute] < served[otherRoute]/asked[otherRoute]-maxRankDeficit {
+			o.violate(violation{rule: "RANK", at: outage.to, request: first.id, text: text})
+		}
+		for name := range asked {
+			o.extra["short_"+name] += asked[name]
+			o.extra["short_"+name+"_served"] += served[name]
+		}
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -18,8 +18,21 @@
 	return out
 }
 
+// pairs returns a refusal for want of tokens and then the given numbers of calls in pairs, of which so many were served.
+func pairs(count, urgentServed, otherServed int) []*call {
+	calls := []*call{{id: "first", route: &pairRoutes[1], customer: pairCustomer, status: 503, title: "budget-rationed"}}
+	for i := range 2 * count {
+		c := &call{id: fmt.Sprintf("pair-%d", i), route: &pairRoutes[i%2], customer: pairCustomer, status: 503, title: "budget-rationed"}
+		if i/2 < []int{urgentServed, otherServed}[i%2] {
+			c.status, c.title, c.body = 200, "", []byte(stream("v1", 1, streamEvents))
+		}
+		calls = append(calls, c)
+	}
+	return calls
+}
+
 // TestChecksFindViolations guards against checks that find nothing, and against some that find violations where there are none. All
-// requests come from an instance whose link to the store was cut from 20 to 21 s.
+// requests come from an instance whose link to the store was cut from 20 to 21 s. All instances were in the first second.
 func TestChecksFindViolations(t *testing.T) {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
@@ -29,6 +42,8 @@
 		calls      []*call
 		// ran and rejected hold when the request "a" reached the endpoint.
 		ran, rejected []float64
+		// ranks is set if there are enough calls in pairs for a check.
+		ranks bool
 	}{
 		{name: "served", calls: []*call{{route: order, status: 200, body: []byte(plainBody("key"))}}, ran: []float64{1}},
 		{name: "rejected and sent again", calls: []*call{{route: order, status: 200, body: []byte(plainBody("key"))}}, ran: []float64{1.1}, rejected: []float64{1}},
@@ -37,6 +52,10 @@
 		{name: "repeated too often", rule: "BUDGET", calls: []*call{{route: plan, status: 502}}, ran: []float64{1, 1, 1, 1, 1, 1, 1}},
 		{name: "refused but ran", rule: "REFUSED", calls: []*call{{route: plan, status: 503}}, ran: []float64{1}},
 		{name: "ran after it was refused", rule: "REFUSED", calls: []*call{{route: plan, status: 429}}, ran: []float64{2.9}},
+		{name: "refused with 402 but ran", rule: "REFUSED", calls: []*call{{route: plan, status: 402}}, ran: []float64{1}},
+		{name: "urgent requests served 0.04 less", rule: "RANK", calls: pairs(100, 90, 94), ranks: true},
+		{name: "urgent requests served 0.03 less", calls: pairs(100, 91, 94), ranks: true},
+		{name: "too few requests of a rank", calls: pairs(99, 0, 99)},
 		{name: "refused", calls: []*call{{route: plan, status: 503}}, rejected: []float64{1}},
 		{name: "out of tokens", rule: "BUDGET", calls: []*call{{route: plan, status: 200, body: []byte(stream("v1", 1, streamEvents)), customer: "small"}}, ran: []float64{1}},
 		{name: "truncated", rule: "ANSWER", calls: []*call{{route: plan, status: 200, body: []byte(stream("v1", 1, 3))}}, ran: []float64{1}},
@@ -74,8 +93,8 @@
 		l := newLink("front-0", storeTarget)
 		l.faults = []interval{{at(20), at(21)}}
 		s := &soak{
-			store: standin.NewPlatformStore(), callers: &callers{}, endpoints: []*endpoint{e, evacuated}, evacuations: []*evacuation{{"hall-b", at(30), at(40)}},
-			instances: []*instance{{name: "front-0", links: map[string]*link{storeTarget: l}}}, grants: []grant{{start, "large", 100_000}}, granted: map[string]int64{},
+			store: standin.NewPlatformStore(), callers: &callers{}, endpoints: []*endpoint{e, evacuated}, evacuations: []*evacuation{{"hall-b", at(30), at(40)}}, outages: []interval{{start, at(1)}},
+			instances: []*instance{{name: "front-0", links: map[string]*link{storeTarget: l}}}, grants: []grant{{start, "large", 100_000}},
 		}
 		for _, call := range c.calls {
 			call.key, call.at, call.ended = "key", at(0.5), at(3)
@@ -91,6 +110,9 @@
 		if rules := len(r.Violations); c.rule == "" && rules > 0 || c.rule != "" && (rules != 1 || r.Violations[0][:len(c.rule)] != c.rule) {
 			t.Errorf("%s: violations %q, want %q", c.name, r.Violations, c.rule)
 		}
+		if checked := len(r.NotChecked) == 0; checked != c.ranks {
+			t.Errorf("%s: not checked: %q", c.name, r.NotChecked)
+		}
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -19,6 +18,12 @@
 	quietEnd = 3 * time.Second
 	// burstFactor is the load in a burst relative to the usual one. It is above the capacity of all engines.
 	burstFactor = 4.0
+	// outageAfter is when the outage of the store begins in a cycle, outageLength how long it lasts, outageLead how long before it calls in
+	// pairs begin. DRAIN, EVAC and FAILBACK are not checked in an outage and the 4 s after it: the evacuation and the first endpoints that
+	// leave come long enough before it. It ends before the kill of all instances, which would leave few tokens in leases.
+	outageAfter, outageLength, outageLead = 10 * time.Second, 3400 * time.Millisecond, 4 * time.Second
+	// pairsPerInstance is the number of pairs of calls per second for each instance. An outage has some 150 of them at 6 instances.
+	pairsPerInstance = 7.5
 	// entryLifetime is how long the entry of an endpoint that ended remains, as on the platform.
 	entryLifetime = 1500 * time.Millisecond
 )
@@ -75,23 +80,26 @@
 func (d *schedule) planCycle(begin time.Duration) {
 	const s = time.Second
 	domain := domains[d.random.IntN(len(domains))]
-	d.planEvacuation(begin+d.between(2*s, 3*s), domain)
-	for _, at := range []time.Duration{begin + d.between(s, 2*s), begin + d.between(9*s, 11*s)} {
+	d.planEvacuation(begin+d.between(s, 1500*time.Millisecond), domain)
+	for _, at := range []time.Duration{begin + d.between(s, 2*s), begin + outageAfter + outageLength + d.between(0, 500*time.Millisecond)} {
 		for _, i := range d.random.Perm(len(d.seats))[:3] {
 			d.planDrain(at, d.seats[i])
 		}
 	}
 	// The streams of many callers end at once while the others are in contact with the store, so that most can be resumed.
 	busiest, pause := d.instances[d.busiest], d.between(300*time.Millisecond, 1500*time.Millisecond)
-	d.at(begin+d.between(7500*time.Millisecond, 8500*time.Millisecond), func() { d.restart(busiest, syscall.SIGKILL, pause) })
-	d.planKill(begin+d.between(12500*time.Millisecond, 14500*time.Millisecond), begin == 0)
-	for _, at := range []time.Duration{begin + d.between(4*s, 7*s), begin + d.between(9*s, 12*s)} {
+	d.at(begin+d.between(7500*time.Millisecond, 8300*time.Millisecond), func() { d.restart(busiest, syscall.SIGKILL, pause) })
+	d.planKill(begin+d.between(13500*time.Millisecond, 14500*time.Millisecond), begin == 0)
+	if at := begin + outageAfter; at+outageLength < d.config.Duration-quietEnd/2 {
+		d.planOutage(at)
+	}
+	for _, at := range []time.Duration{begin + d.between(4*s, 7*s), begin + d.between(15*s, 17*s)} {
 		usual, length := d.callers.rate, d.between(s, 1500*time.Millisecond)
 		d.at(at, func() {
 			d.note("burst for %v", length)
-			d.callers.setRate(burstFactor * usual)
+			d.callers.setRate(&d.callers.rate, burstFactor*usual)
 			sleep(d.ctx, length)
-			d.callers.setRate(usual)
+			d.callers.setRate(&d.callers.rate, usual)
 		})
 	}
 	if begin > 0 {
@@ -117,6 +125,10 @@
 	length, pause := d.between(500*time.Millisecond, 3500*time.Millisecond), d.between(200*time.Millisecond, 1500*time.Millisecond)
 	state := []linkState{linkHangs, linkCut}[d.random.IntN(2)]
 	target := append([]string{storeTarget, storeTarget}, domains...)[d.random.IntN(2+len(domains))]
+	// A fault of a link to the store that would end in the outage of the store ends with it.
+	if begin := at - at%cycle + outageAfter; target == storeTarget && at < begin+outageLength && at+length > begin {
+		length = max(length, begin+outageLength-at)
+	}
 	seat, version, late := d.seats[d.random.IntN(len(d.seats))], d.random.IntN(2), d.between(0, 2500*time.Millisecond)
 	switch kind := d.random.IntN(13) - 1; {
 	case kind < 2:
@@ -132,16 +144,10 @@
 			}
 		})
 	case kind < 8:
-		d.at(at, func() { d.disturb(in, target, state, length) })
+		d.at(at, func() { d.disturb(state, length, in.links[target]) })
 	case kind < 9:
-		d.at(at, func() {
-			// The instance reaches no endpoints at all.
-			var all sync.WaitGroup
-			for _, domain := range domains {
-				all.Go(func() { d.disturb(in, domain, state, length) })
-			}
-			all.Wait()
-		})
+		// The instance reaches no endpoints at all.
+		d.at(at, func() { d.disturb(state, length, in.links[domains[0]], in.links[domains[1]], in.links[domains[2]]) })
 	case kind < 10:
 		d.at(at, func() {
 			d.note("reset connections from %s to %s", in.name, target)
@@ -169,13 +175,33 @@
 	d.note("%s has started", in.name)
 }
 
-// disturb cuts a link, or lets it hang, for a time.
-func (d *schedule) disturb(in *instance, target string, state linkState, length time.Duration) {
-	d.note("link from %s to %s: %v for %v", in.name, target, map[linkState]string{linkHangs: "hangs", linkCut: "cut"}[state], length)
-	in.links[target].setState(state)
+// disturb cuts links, or lets them hang, for a time.
+func (d *schedule) disturb(state linkState, length time.Duration, links ...*link) {
+	for _, l := range links {
+		d.note("link from %s to %s: %v for %v", l.instance, l.target, map[linkState]string{linkHangs: "hangs", linkCut: "cut"}[state], length)
+		l.setState(state)
+	}
 	sleep(d.ctx, length)
-	in.links[target].setState(linkOpen)
-	d.note("link from %s to %s: open", in.name, target)
+	for _, l := range links {
+		l.setState(linkOpen)
+		d.note("link from %s to %s: open", l.instance, l.target)
+	}
+}
+
+// planOutage cuts all instances off from the store for a time. Calls in pairs begin before.
+func (d *schedule) planOutage(at time.Duration) {
+	d.at(at-outageLead, func() { d.callers.setRate(&d.callers.pairs, pairsPerInstance*float64(len(d.instances))) })
+	state, links := []linkState{linkHangs, linkCut}[d.random.IntN(2)], []*link{}
+	for _, in := range d.instances {
+		links = append(links, in.links[storeTarget])
+	}
+	d.at(at, func() {
+		began := time.Now()
+		d.disturb(state, outageLength, links...)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.outages = append(d.outages, interval{began, time.Now()})
+	})
 }
 
 // planKill kills all instances at once, in a third of the cycles after the first one all but one of them. Around that time, some engines
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -44,6 +44,8 @@
 	Fault      string   `json:"fault"`
 	// Refusals counts refusals by reason.
 	Refusals map[string]int `json:"refusals"`
+	// NotChecked describes what was not checked, since there were too few requests.
+	NotChecked []string `json:"not_checked"`
 	// Traces describes the first violations of each rule. They are printed before the object.
 	Traces []string `json:"-"`
 }
@@ -68,7 +70,7 @@
 // newResult returns the result of a run that has not begun.
 func newResult(c Config) *Result {
 	return &Result{
-		Experiment: "processes", Seed: c.Seed, Instances: c.Instances, DurationS: c.Duration.Seconds(), Violations: []string{}, Refusals: make(map[string]int),
+		Experiment: "processes", Seed: c.Seed, Instances: c.Instances, DurationS: c.Duration.Seconds(), Violations: []string{}, NotChecked: []string{}, Refusals: make(map[string]int),
 		Extra: make(map[string]float64),
 	}
 }
@@ -78,7 +80,7 @@
 	o := s.observe()
 	s.check(o)
 	r := newResult(s.config)
-	r.Requests, r.Extra, r.PlatformCallsPerS = len(o.calls), s.cover(o), float64(s.store.Calls())/time.Since(s.started).Seconds()
+	r.Requests, r.Extra, r.NotChecked, r.PlatformCallsPerS = len(o.calls), s.cover(o), o.notChecked, float64(s.store.Calls())/time.Since(s.started).Seconds()
 	latencies := hdrhistogram.New(1, maxLatencyMs, latencyDigits)
 	for _, c := range o.calls {
 		switch {
@@ -88,47 +90,29 @@
 			_ = latencies.RecordValue(c.ended.Sub(c.at).Milliseconds())
 		case c.notRun():
 			r.NotRun++
-			r.Refusals[fmt.Sprintf("%d %s", c.status, c.title)]++
 		default:
 			r.Unknown++
-			if c.status != 0 && c.status != http.StatusOK {
-				r.Refusals[fmt.Sprintf("%d %s", c.status, c.title)]++
-			}
 		}
-	}
-	r.P50Ms, r.P99Ms = latencies.ValueAtQuantile(50), latencies.ValueAtQuantile(99)
-	for _, cu := range customers {
-		spent := int64(0)
-		for _, c := range o.calls {
-			if c.customer == cu.name {
-				spent += o.spent(c)
-			}
+		if c.status != 0 && c.status != http.StatusOK {
+			r.Refusals[fmt.Sprintf("%d %s", c.status, c.title)]++
 		}
-		total := s.granted[cu.name]
-		r.OverspendTokens += max(spent-total, 0)
-		r.Extra["spent_share_"+cu.name] = float64(spent) / float64(max(total, 1))
 	}
-	traced := make(map[string]int)
+	r.P50Ms, r.P99Ms = latencies.ValueAtQuantile(50), latencies.ValueAtQuantile(99)
+	count := make(map[string]int)
 	for _, v := range o.violations {
 		r.Violations = append(r.Violations, v.rule+": "+v.text)
-		switch v.rule {
-		case "TWICE":
-			r.DoubleRuns++
-		case "REFUSED":
-			r.NotRunButRan++
-		case "ANSWER", "ORDER":
-			r.WrongAnswers++
-		}
-		if traced[v.rule]++; traced[v.rule] <= tracedPerRule {
+		if count[v.rule]++; count[v.rule] <= tracedPerRule {
 			r.Traces = append(r.Traces, s.trace(o, v))
 		}
 	}
+	r.OverspendTokens, r.DoubleRuns, r.NotRunButRan, r.WrongAnswers = o.overspent, count["TWICE"], count["REFUSED"], count["ANSWER"]+count["ORDER"]
 	return r
 }
 
 // cover returns figures about what the run covered.
 func (s *soak) cover(o *observations) map[string]float64 {
-	f := map[string]float64{"evacuations": float64(len(s.evacuations)), "unidentified_connections": float64(s.unidentified)}
+	f := o.extra
+	f["evacuations"], f["outages"], f["unidentified_connections"] = float64(len(s.evacuations)), float64(len(s.outages)), float64(s.unidentified)
 	for _, stall := range s.stalls {
 		f["stalls"]++
 		f["stalled_s"] += stall.to.Sub(stall.from).Seconds()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -84,10 +84,11 @@
 	// stalls holds the times in which this process did not run.
 	stalls      []interval
 	evacuations []*evacuation
-	timeline    []note
+	// outages holds the times in which no instance reached the store.
+	outages  []interval
+	timeline []note
 	// version is that of the configuration. grants holds what each customer was granted in total from a time on.
 	version int
-	granted map[string]int64
 	grants  []grant
 	// unidentified counts connections that were closed before their processes were found. Nothing is passed on of them.
 	unidentified int
@@ -131,7 +132,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &soak{
-		config: c, started: time.Now(), store: standin.NewPlatformStore(), fail: cancel, granted: make(map[string]int64), busiest: int(c.Seed) % c.Instances,
+		config: c, started: time.Now(), store: standin.NewPlatformStore(), fail: cancel, busiest: int(c.Seed) % c.Instances,
 	}
 	s.callers = newCallers(c.Seed, callsPerInstance*float64(c.Instances), s.pickInstance)
 	err = s.run(ctx)
@@ -343,11 +344,11 @@
 		routeList = append(routeList, values)
 	}
 	perSecond := callsPerInstance * float64(s.config.Instances) * streamShare * (promptTokens + streamEvents*tokensPerEvent)
-	for i, c := range customers {
-		s.granted[c.name] += int64(c.prepaidSeconds * c.share * perSecond)
-		tenants = append(tenants, map[string]any{"name": c.name, "api_keys": []string{c.name + "-api"}, "priority": i, "prepaid": s.granted[c.name]})
+	for _, c := range customers {
+		total := s.grantedAt(c.name, time.Now()) + int64(c.prepaidSeconds*perSecond)
+		tenants = append(tenants, map[string]any{"name": c.name, "api_keys": []string{c.name + "-api"}, "priority": c.priority, "prepaid": total})
 		// Written before the store has it: what a customer may spend counts from then on.
-		s.grants = append(s.grants, grant{at: time.Now(), customer: c.name, total: s.granted[c.name]})
+		s.grants = append(s.grants, grant{at: time.Now(), customer: c.name, total: total})
 	}
 	_, err := s.store.Set("config/main", map[string]any{
 		"version": s.version, "routes": routeList, "tenants": tenants, "services": []any{
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,13 +32,13 @@
 	}
 	for _, figure := range []string{
 		"resumed", "resumed_complete", "cold_starts", "arrivals_at_cold", "evacuations", "left", "full_endpoints_model", "full_endpoints_desk", "stops", "link_faults",
-		"calls_at_busiest",
+		"calls_at_busiest", "outages",
 	} {
 		if r.Extra[figure] == 0 {
 			t.Errorf("the run did not cover %s", figure)
 		}
 	}
-	if r.Answered == 0 || r.Refusals["402 budget-exhausted"] == 0 {
-		t.Errorf("%d requests were answered, %d refused for an exhausted budget", r.Answered, r.Refusals["402 budget-exhausted"])
+	if r.Answered == 0 || r.Refusals["402 budget-exhausted"] == 0 || r.Refusals["503 budget-rationed"] == 0 {
+		t.Errorf("%d requests were answered; refusals: %v", r.Answered, r.Refusals)
 	}
 }
