Give the customer with two ranks more tokens in the soak test

Change: what is granted lasts for 10 s of the customer's requests in place of 3 s. The customer without tokens still checks BUDGET in the outage.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -66,8 +66,8 @@
 }
 
 // customers has one whose tokens last and one whose tokens do not. Those of the third run out after some 5 s: its calls all have the last rank,
-// so that no tokens are kept. Calls in pairs would spend those of the last one in 3 s.
-var customers = []customer{{"large", 0.6, 600, 0}, {"medium", 0.25, 4, 1}, {"small", 0.15, 0.7, 3}, {pairCustomer, 0, 3, 1}}
+// so that no tokens are kept. Calls in pairs would spend those of the last one in 10 s.
+var customers = []customer{{"large", 0.6, 600, 0}, {"medium", 0.25, 4, 1}, {"small", 0.15, 0.7, 3}, {pairCustomer, 0, 10, 1}}
 
 // call is one request of a caller, with what the caller got.
 type call struct {
