--- a/router/rationed_causes_test.go
+++ b/router/rationed_causes_test.go
@@ -1,10 +1,16 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"pumiceshelf/api"
+	"pumiceshelf/prepaid"
 )
 
 // tokenSampling is the interval at which the tokens of all instances are summed.
@@ -12,15 +18,20 @@
 
 // tokenSamples holds what all instances together could reserve, for each customer, by the time of the sample.
 type tokenSamples struct {
-	mu        sync.Mutex
-	at        []time.Time
-	available [][loadCustomers]int64
+	// withLedger adds what the ledger has left.
+	withLedger bool
+	mu         sync.Mutex
+	at         []time.Time
+	available  [][loadCustomers]int64
 }
 
 // sampleTokens takes samples for some time.
 func (p *budgetPlay) sampleTokens(s *tokenSamples, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tokenSampling) {
 		var sum [loadCustomers]int64
+		if s.withLedger {
+			sum = p.uncommitted()
+		}
 		p.mu.Lock()
 		for _, in := range p.instances {
 			for c := range sum {
@@ -34,6 +45,26 @@
 	}
 }
 
+// uncommitted returns the tokens of each customer that the ledger has neither closed nor leased.
+func (p *budgetPlay) uncommitted() (left [loadCustomers]int64) {
+	object, err := p.store.Get(context.Background(), prepaid.LedgerKey)
+	if err != nil {
+		panic(err)
+	}
+	ledger := &api.PrepaidLedger{}
+	if err := protojson.Unmarshal(object.Value, ledger); err != nil {
+		panic(err)
+	}
+	for c := range left {
+		account := ledger.Accounts[fmt.Sprintf("customer-%d", c)]
+		left[c] = int64(p.prepaid) - account.GetClosed()
+		for _, lease := range account.GetLeases() {
+			left[c] -= lease
+		}
+	}
+	return left
+}
+
 // before returns what all instances could reserve for a customer at the last sample before a time.
 func (s *tokenSamples) before(customer int, at time.Time) (available int64) {
 	for i, t := range s.at {
--- a/router/rationed_test.go
+++ b/router/rationed_test.go
@@ -6,6 +6,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"pumiceshelf/api"
+	"pumiceshelf/prepaid"
 )
 
 // budgetKinds are the requests of docs/design/hard-load-remaining.md that use prepaid tokens, with their share of them.
@@ -35,29 +40,53 @@
 // budgetPlay is a load of customers with prepaid tokens, before engines that have room for all requests.
 type budgetPlay struct {
 	*loadPlay
-	// rate is the number of requests per second, prepaid the prepaid tokens of each customer.
-	rate    float64
-	prepaid int
+	// rate is the number of requests per second, prepaid the prepaid tokens of each customer, and closed how many of them were used
+	// before the play.
+	rate            float64
+	prepaid, closed int
 }
 
 func newBudgetPlay(instances int, seed uint64) *budgetPlay {
-	p := &budgetPlay{loadPlay: newLoadPlay(seed, instances, 12, 24, 0, true)}
+	rate := budgetRate
+	if instances > 10 {
+		rate = budgetRateLarge
+	}
+	p := newUsedBudgetPlay(instances, seed, rate*float64(instances), 0)
+	time.Sleep(warmUp)
+	return p
+}
+
+// newUsedBudgetPlay returns a load of the given number of requests per second, with a part of the prepaid tokens used before.
+func newUsedBudgetPlay(instances int, seed uint64, rate, used float64) *budgetPlay {
+	p := &budgetPlay{loadPlay: newLoadPlay(seed, instances, 12, 24, 0, true), rate: rate}
 	p.kinds = budgetKinds
 	mean := 0.0
 	for _, k := range p.kinds {
 		mean += k.share * float64(k.prompt+chargedOutput)
 	}
-	p.rate = budgetRate * float64(instances)
-	if instances > 10 {
-		p.rate = budgetRateLarge * float64(instances)
-	}
 	p.prepaid = int(prepaidRatio * p.rate / loadCustomers * budgetDay.Seconds() * mean)
+	p.closed = int(used * float64(p.prepaid))
+	if p.closed > 0 {
+		p.writeClosed()
+	}
 	configuration := strings.ReplaceAll(p.configuration(), `{"name":"customer-`, fmt.Sprintf(`{"prepaid":%d,"name":"customer-`, p.prepaid))
 	p.store.set("config/main", strings.Replace(configuration, `"version":2`, `"version":3`, 1))
-	time.Sleep(warmUp)
 	return p
 }
 
+// writeClosed writes a ledger with the tokens that were used before the play.
+func (p *budgetPlay) writeClosed() {
+	ledger := &api.PrepaidLedger{Accounts: make(map[string]*api.PrepaidAccount)}
+	for customer := range loadCustomers {
+		ledger.Accounts[fmt.Sprintf("customer-%d", customer)] = &api.PrepaidAccount{Closed: int64(p.closed)}
+	}
+	value, err := protojson.Marshal(ledger)
+	if err != nil {
+		panic(err)
+	}
+	p.store.set(prepaid.LedgerKey, string(value))
+}
+
 // sendFor lets callers send requests for some time, and stops all.
 func (p *budgetPlay) sendFor(d time.Duration) {
 	p.send(d, func(time.Duration) float64 { return p.rate })
@@ -104,8 +133,8 @@
 		}
 	}
 	for customer, n := range used {
-		if n > p.prepaid {
-			t.Errorf("BUDGET: customer %d used %d tokens of %d", customer, n, p.prepaid)
+		if n > p.prepaid-p.closed {
+			t.Errorf("BUDGET: customer %d used %d tokens of %d", customer, n, p.prepaid-p.closed)
 		}
 	}
 }
