Answer 503 in place of 404 and 401 while the configuration is unconfirmed

Change: while the store has not confirmed the configuration for 3 s, a request that it does not allow gets 503 configuration-unconfirmed, not run, with Retry-After.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Quarantine *quarantine.Tracker
 	// Table returns the active routing table, or nil if no configuration has been applied yet.
 	Table func() *routing.Table
+	// ConfigurationUnconfirmed reports whether a newer configuration than that of the table may have to be in force. If nil, it never is.
+	ConfigurationUnconfirmed func() bool
 	// Endpoints returns the endpoints that accept new requests, or nil before the first listing.
 	Endpoints func() *registry.View
 	// Contact returns the time since the store last confirmed the endpoints, and for how long it had done so without a gap.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,6 +67,23 @@
 		So(h.requestCount(), ShouldEqual, 0)
 		So(h.send("GET", "/public/", "", map[string]string{"Api-Key": ""}).status, ShouldEqual, 200)
 	})
+	Convey("responds 503, not 401 or 404, while the configuration is unconfirmed, which may be older than that of the caller", t, func() {
+		e := newFakeEndpoint("i-1", respondWith(200, "x"))
+		h := newHarness(e)
+		Reset(h.close)
+		unconfirmed := true
+		h.config.ConfigurationUnconfirmed = func() bool { return unconfirmed }
+		h.restart()
+		for path, key := range map[string]string{"/other/": "key", "/fetch/": "other"} {
+			resp := h.send("POST", path, "", map[string]string{"Api-Key": key})
+			So(resp.status, ShouldEqual, 503)
+			So(resp.body, ShouldContainSubstring, "configuration-unconfirmed")
+			So(resp.header, ShouldContainKey, "Retry-After")
+		}
+		So(h.send("GET", "/fetch/", "", nil).status, ShouldEqual, 200)
+		unconfirmed = false
+		So(h.send("POST", "/other/", "", nil).status, ShouldEqual, 404)
+	})
 	Convey("responds 503, not 401 or 404, before a configuration was applied", t, func() {
 		h := newHarness(newFakeEndpoint("i-1", respondWith(200, "x")))
 		Reset(h.close)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -138,7 +138,7 @@
 	}
 	j.route = j.table.Match(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+		return j.denied(refusal{status: http.StatusNotFound, reason: reasonNoRoute})
 	}
 	if limit := j.table.Limits().HeaderBytes; limit > 0 && headerBytes(j.r) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonTooLarge}
@@ -190,7 +190,7 @@
 // checkCustomer refuses a request without a customer on a route that needs one.
 func (j *job) checkCustomer() *refusal {
 	if j.customer == nil && j.table.RequiresKey() && !j.route.Public {
-		return &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+		return j.denied(refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey})
 	}
 	return nil
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,7 +22,7 @@
 
 // allReasons lists every reason for which a request ends without a complete response or is retried.
 var allReasons = []reason{
-	reasonNoConfiguration, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyTruncated,
+	reasonNoConfiguration, reasonUnconfirmed, reasonNoRoute, reasonUnknownKey, reasonMalformed, reasonTooLarge, reasonBodyTruncated,
 	reasonBudgetExhausted, reasonBudgetUnavailable, reasonBudgetRationed, reasonBudgetContended, reasonNoEndpoint, reasonOverloaded, reasonEndpointsBusy, reasonEndpointsPaused, reasonEvacuated,
 	reasonRateLimited, reasonNoRoom, reasonOriginUnknown, reasonVersionUnavailable,
 	reasonUnreachable, reasonLinkBusy, reasonResponseLost, reasonResponseMismatch, reasonUnresponsive, reasonResponseTruncated,
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -17,6 +17,7 @@
 const (
 	reasonNone               reason = ""
 	reasonNoConfiguration    reason = "no-configuration"
+	reasonUnconfirmed        reason = "configuration-unconfirmed"
 	reasonNoRoute            reason = "no-route"
 	reasonUnknownKey         reason = "unknown-key"
 	reasonMalformed          reason = "malformed"
--- a/router/explain_test.go
+++ b/router/explain_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -70,7 +71,10 @@
 		So(errText, ShouldEqual, "ctl: instance muscat-1: no route for host \"a.example\" and path \"/none\" in configuration version 3\n")
 		_, _, errText = where("--path", "/status/x", "--customer", "nobody")
 		So(errText, ShouldEqual, "ctl: instance muscat-1: no customer \"nobody\" in configuration version 3\n")
-		_, out, _ = where("--path", "/status/x")
+		// The clock stands still, so the store confirms the configuration at its present time at the latest with the next watch.
+		for out = ""; !strings.Contains(out, "unknown-key"); time.Sleep(time.Millisecond) {
+			_, out, _ = where("--path", "/status/x")
+		}
 		So(out, ShouldContainSubstring, "decision         refuse\nreason           unknown-key\n")
 
 		for _, s := range services {
--- a/router/listeners.go
+++ b/router/listeners.go
@@ -84,7 +84,20 @@
 func (c *configurationListener) StoreUnavailable(error) {}
 
 // StoreAvailable implements follow.Listener.
-func (c *configurationListener) StoreAvailable(time.Duration) {}
+func (c *configurationListener) StoreAvailable(age time.Duration) {
+	at := c.router.config.Clock.Now().Add(-age)
+	c.router.configurationConfirmedAt.Store(&at)
+}
+
+// maxConfigurationAge is the time since the store last confirmed the configuration after which a newer one may have to be in force: a
+// change must be within 3 s. An instance that gets its changes from a relay has it confirmed every second or two.
+const maxConfigurationAge = 3 * time.Second
+
+// configurationUnconfirmed reports whether a newer configuration than the active one may have to be in force.
+func (r *Router) configurationUnconfirmed() bool {
+	at := r.configurationConfirmedAt.Load()
+	return at == nil || r.config.Clock.Since(*at) > maxConfigurationAge
+}
 
 // Tick implements follow.Listener.
 func (c *configurationListener) Tick() {}
--- a/router/router.go
+++ b/router/router.go
@@ -124,6 +124,8 @@
 	versions           *registry.VersionHistory
 	// targetsChangedAt is when the services of a route last changed, nil if they have not since the start.
 	targetsChangedAt atomic.Pointer[time.Time]
+	// configurationConfirmedAt is when the store last confirmed the configuration. It is nil before the first time.
+	configurationConfirmedAt atomic.Pointer[time.Time]
 	// contact records since when the store has confirmed the endpoints.
 	contact *registry.Contact
 	// startedAt is when the instance started.
@@ -203,7 +205,7 @@
 	r.gateway = gateway.New(gateway.Config{
 		Headers: c.Headers, Budgets: r.prepaid, BudgetView: r.prepaid.View, BudgetRationed: r.prepaid.IsRationed, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Loads: r.loads, Quarantine: r.quarantine, Origins: r.members,
 		SheddingDisabled: c.Settings.SheddingDisabled, MovesCallers: r.linkBusy, Link: r.busyLink,
-		Contact: r.contactState, KnowsOneVersion: r.knowsOneVersion,
+		Contact: r.contactState, KnowsOneVersion: r.knowsOneVersion, ConfigurationUnconfirmed: r.configurationUnconfirmed,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
 		Self: c.Settings.Name, MaxBufferedBytes: int64(c.Settings.MemoryMb) << 20 / bufferedMemoryShare, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: dials.instance,
 		AwaitFreshState: r.freezeGuard.Wait, AwaitEvidence: r.members.AwaitEvidence, Dial: dials.endpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
