--- a/gateway/unconfirmed.go
+++ b/gateway/unconfirmed.go
@@ -3,8 +3,8 @@
 import "net/http"
 
 // denied returns the refusal of a request that the configuration does not allow. While the configuration is unconfirmed, a newer one
-// may allow the request, so the caller is told to come back instead. Instances whose network link is full, or that are cut off from the
-// store, have answered 404 for routes that had been added ten seconds before.
+// may allow the request, so the caller is told to come back instead. Instances that reached neither the store nor others in time have
+// answered 404 for routes that had been added ten seconds before.
 func (j *job) denied(r refusal) *refusal {
 	unconfirmed := j.gateway.config.ConfigurationUnconfirmed
 	if unconfirmed == nil || !unconfirmed() {
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// recoveryTime is recovery_s: from then after the restart on, at least minRecoveredShare of the requests must be served (RECOVER).
+	// recoveryTime is that of rule RECOVER: from then after the restart on, at least minRecoveredShare of the requests must be served.
 	recoveryTime      = 15 * time.Second
 	minRecoveredShare = 0.25
 	// recoveryChecked is for how long that is checked: callers send about 80 requests in that time.
