Check endpoints without a timer of 0 s

In a synctest bubble under the race detector, several of these at the same time crash the runtime (go1.26.8), as in members/watch.go. Change: a check that is due runs in a goroutine at once.

--- a/gateway/restart.go
+++ b/gateway/restart.go
@@ -73,7 +73,13 @@
 		d.waiting = d.waiting[1:]
 		d.inProgress++
 		// A process takes longer than crashCheckDelay to start.
-		time.AfterFunc(crashCheckDelay+lossRecordTime-d.gateway.config.Clock.Since(next.at), func() { d.check(next.endpoint) })
+		delay := crashCheckDelay + lossRecordTime - d.gateway.config.Clock.Since(next.at)
+		if delay <= 0 {
+			// Several timers of 0 s at the same time crash the Go runtime (go1.26.8) in a synctest bubble under the race detector.
+			go d.check(next.endpoint)
+			continue
+		}
+		time.AfterFunc(delay, func() { d.check(next.endpoint) })
 	}
 }
 
