Forget endpoints that left in the state of their failure domain

Cause: an endpoint that could not be reached and then left for good counted until the next response of its failure domain, so that two of them made the domain count as out of reach, and the sets of IDs grew with each replaced endpoint of a domain that stays partitioned. Change: Chooser.Retain removes them, and domains of which nothing is left to remember; a partitioned domain keeps its pause.

--- a/placement/domain.go
+++ b/placement/domain.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"pumiceshelf/registry"
@@ -66,6 +67,17 @@
 	d.skipUntil = time.Time{}
 }
 
+// retainDomains forgets endpoints for which known returns false, and domains of which nothing is left to remember. Endpoints that left for
+// good would otherwise make their domain count as out of reach. The caller holds the mutex.
+func (c *Chooser) retainDomains(known func(id string) bool, now time.Time) {
+	for name, d := range c.domains {
+		maps.DeleteFunc(d.unreachableEndpoints, func(id string, _ bool) bool { return !known(id) })
+		if len(d.unreachableEndpoints) == 0 && !d.partitioned(now) {
+			delete(c.domains, name)
+		}
+	}
+}
+
 // updateDomain applies the result of a request to the state of its endpoint's failure domain.
 func (c *Chooser) updateDomain(e registry.Endpoint, r Result, now time.Time) {
 	d := c.domains[e.Domain]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -291,12 +291,13 @@
 	return s
 }
 
-// Retain deletes the state of endpoints for which known returns false, unless they were found to have ended lately, and their notices
-// after a while.
+// Retain deletes the state of endpoints for which known returns false, unless they were found to have ended lately, their notices after
+// a while, and what it knows of failure domains through them.
 func (c *Chooser) Retain(known func(id string) bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retainNotices(known, now)
+	c.retainDomains(known, now)
 	for id, s := range c.states {
 		if !known(id) && now.Sub(s.endedAt) > lossRetention {
 			delete(c.states, id)
