Run tests of timeouts in gateway in virtual time

Cause: go test ./gateway failed in 13 of 60 runs, 14 processes at a time on 7 processors: the 10 ms pauses and 300 ms connection timeouts of the tests passed while a process got no processor. The failed TestUnframedResponses is a sound request to a route that may be repeated (the 16th of its checks), sent to a second endpoint; why was not traced, 150 runs of the test alone beside load passed. Change: the tests of standby attempts, of busy links and of checks for other instances run in a synctest bubble on the network in memory, with the same checks; an elapsed time that was between 600 and 1200 ms is now exactly 600 ms.

--- a/gateway/busylink_test.go
+++ b/gateway/busylink_test.go
@@ -12,12 +12,14 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pumiceshelf/gateway"
+	"pumiceshelf/internal/memorynet"
 	"pumiceshelf/linkload"
 	"pumiceshelf/quarantine"
 	"pumiceshelf/routing"
@@ -49,8 +51,15 @@
 // never is a time in which no connection is established.
 const never = time.Hour
 
-func newLinkHarness(busy bool, delay time.Duration, endpoints ...*fakeEndpoint) *linkHarness {
-	h := &linkHarness{harness: newHarness(endpoints...), delay: make(map[string]time.Duration), other: newHarness(endpoints...)}
+// newLinkHarness returns a gateway in front of the given number of endpoints. It must run in a synctest bubble, since its connections
+// time out.
+func newLinkHarness(busy bool, delay time.Duration, count int) *linkHarness {
+	network := new(memorynet.Network)
+	var endpoints []*fakeEndpoint
+	for i := range count {
+		endpoints = append(endpoints, newFakeEndpointIn(network, fmt.Sprint("i-", i+1), respondWith(200, "ok")))
+	}
+	h := &linkHarness{harness: newHarnessIn(network, endpoints...), delay: make(map[string]time.Duration), other: newHarnessIn(network, endpoints...)}
 	h.busy.Store(busy)
 	for _, e := range endpoints {
 		h.setDelay(e, delay)
@@ -85,18 +94,21 @@
 	h.mu.Lock()
 	delay := h.delay[address]
 	h.mu.Unlock()
-	return dialAfter(ctx, delay, network, address)
+	return h.dialAfter(ctx, delay, network, address)
 }
 
 func (h *linkHarness) dialInstance(ctx context.Context, network, address string) (net.Conn, error) {
-	return dialAfter(ctx, time.Duration(h.instanceDelay.Load()), network, address)
+	return h.dialAfter(ctx, time.Duration(h.instanceDelay.Load()), network, address)
 }
 
 // dialAfter connects after a delay.
-func dialAfter(ctx context.Context, delay time.Duration, network, address string) (net.Conn, error) {
+func (h *linkHarness) dialAfter(ctx context.Context, delay time.Duration, network, address string) (net.Conn, error) {
+	if delay == 0 {
+		return h.network.DialContext(ctx, network, address)
+	}
 	select {
 	case <-time.After(delay):
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		return h.network.DialContext(ctx, network, address)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -105,6 +117,8 @@
 func (h *linkHarness) close() {
 	h.harness.close()
 	h.other.server.Close()
+	// Connections in progress, and the checks that follow, end with their timeouts. The bubble must not end before.
+	time.Sleep(2 * linkload.MaxDialTime)
 }
 
 // logged returns the number of log lines with a message.
@@ -119,15 +133,17 @@
 
 // TestSlowConnectionsOnABusyLink guards against endpoints that are taken for faulty because connecting to them takes longer on a full
 // link: each retry sends the request over the same link again.
-func TestSlowConnectionsOnABusyLink(t *testing.T) {
+func TestSlowConnectionsOnABusyLink(t *testing.T) { synctest.Test(t, testSlowConnectionsOnABusyLink) }
+
+func testSlowConnectionsOnABusyLink(t *testing.T) {
 	Convey("Given endpoints to which connecting takes 600 ms", t, func() {
-		newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
 		Convey("on a busy link, the request waits for the connection", func() {
-			h := newLinkHarness(true, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(true, slowDialTime, 2)
 			Reset(h.close)
 			begin := time.Now()
 			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
-			So(time.Since(begin), ShouldBeBetween, slowDialTime, 2*slowDialTime)
+			// In virtual time, the connection takes exactly as long.
+			So(time.Since(begin), ShouldEqual, slowDialTime)
 			So(h.requestCount(), ShouldEqual, 1)
 			So(h.logged(logEjected), ShouldEqual, 0)
 			So(h.linkCount("dials.extended"), ShouldEqual, 1)
@@ -135,7 +151,7 @@
 		})
 		Convey("also on a link that becomes busy meanwhile, or ceases to be", func() {
 			for _, busy := range []bool{false, true} {
-				h := newLinkHarness(busy, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+				h := newLinkHarness(busy, slowDialTime, 2)
 				time.AfterFunc(usualDialTime/3, func() { h.busy.Store(!busy) })
 				So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
 				So(h.logged(logEjected), ShouldEqual, 0)
@@ -143,7 +159,7 @@
 			}
 		})
 		Convey("a short objective does not make the endpoint count as silent before it has the request", func() {
-			h := newLinkHarness(true, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(true, slowDialTime, 2)
 			Reset(h.close)
 			h.changeRoutes(func(r *routing.Route) { r.LatencyObjective = 120 * time.Millisecond })
 			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
@@ -151,7 +167,7 @@
 			So(h.logged(logEjected), ShouldEqual, 0)
 		})
 		Convey("on a link that is not busy, the endpoints are ejected, and the request is passed on as before", func() {
-			h := newLinkHarness(false, slowDialTime, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(false, slowDialTime, 2)
 			Reset(h.close)
 			So(h.send("POST", "/fetch/x", "{}", nil).status, ShouldEqual, 200)
 			So(h.logged(logEjected), ShouldEqual, 2)
@@ -164,10 +180,11 @@
 
 // TestTimeoutsOnABusyLink guards against endpoints and services that seem out of reach because the own link is full, and against an
 // endpoint that is out of reach and is not ejected while it is full.
-func TestTimeoutsOnABusyLink(t *testing.T) {
-	newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
+func TestTimeoutsOnABusyLink(t *testing.T) { synctest.Test(t, testTimeoutsOnABusyLink) }
+
+func testTimeoutsOnABusyLink(t *testing.T) {
 	Convey("if no connection is established on a busy link, no endpoint or service counts as out of reach", t, func() {
-		h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+		h := newLinkHarness(true, never, 2)
 		Reset(h.close)
 		h.config.Delegates = nil
 		h.restart()
@@ -192,19 +209,17 @@
 		})
 	})
 	Convey("an endpoint that refuses connections is at fault", t, func() {
-		stopped := newEndpoint("i-1")
-		h := newLinkHarness(true, 0, stopped)
+		h := newLinkHarness(true, 0, 1)
 		Reset(h.close)
-		stopped.server.Close()
+		h.endpoints[0].server.Close()
 		h.send("POST", "/fetch/x", "{}", nil)
 		So(h.logged(logEjected), ShouldEqual, 1)
 		So(h.linkCount("dials.timed_out"), ShouldEqual, 0)
 	})
 	Convey("an endpoint that is out of reach while others are not is ejected within the longer timeout and one connection", t, func() {
-		lost := newEndpoint("i-1")
-		h := newLinkHarness(true, 0, lost, newEndpoint("i-2"), newEndpoint("i-3"))
+		h := newLinkHarness(true, 0, 3)
 		Reset(h.close)
-		h.setDelay(lost, never)
+		h.setDelay(h.endpoints[0], never)
 		begin := time.Now()
 		for h.logged(logEjected) == 0 && time.Since(begin) < 10*time.Second {
 			for range 4 {
@@ -225,11 +240,14 @@
 // TestRequestsOnABusyLinkAreNotPassedOn guards against requests that take the bytes of a full link a second time, on the way to another
 // instance, and against ones that are kept although the own link is free or another instance asks for a decision.
 func TestRequestsOnABusyLinkAreNotPassedOn(t *testing.T) {
-	newEndpoint := func(id string) *fakeEndpoint { return newFakeEndpoint(id, respondWith(200, "ok")) }
+	synctest.Test(t, testRequestsOnABusyLinkAreNotPassedOn)
+}
+
+func testRequestsOnABusyLinkAreNotPassedOn(t *testing.T) {
 	deadline := map[string]string{"X-Deadline-Ms": "1200"}
 	Convey("Given an instance that connects to no endpoint, and another one that does", t, func() {
 		Convey("on a busy link, the request is refused and has not run", func() {
-			h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(true, never, 2)
 			Reset(h.close)
 			resp := h.send("POST", "/status/x", "{}", deadline)
 			So(resp.status, ShouldEqual, 503)
@@ -239,21 +257,21 @@
 			So(h.counterValue("gateway.delegated"), ShouldEqual, 0)
 		})
 		Convey("on a free link, it is passed on", func() {
-			h := newLinkHarness(false, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(false, never, 2)
 			Reset(h.close)
 			So(h.send("POST", "/status/x", "{}", deadline).status, ShouldEqual, 200)
 			So(h.linkCount("kept"), ShouldEqual, 0)
 			So(h.counterValue("gateway.delegated"), ShouldEqual, 1)
 		})
 		Convey("on a busy link, it is passed on if the endpoints refuse connections", func() {
-			h := newLinkHarness(true, 0, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(true, 0, 2)
 			Reset(h.close)
 			h.refuse.Store(true)
 			So(h.send("POST", "/status/x", "{}", deadline).status, ShouldEqual, 200)
 			So(h.counterValue("gateway.delegated"), ShouldEqual, 1)
 		})
 		Convey("an instance with a busy link tells one that passed the request on to try another one", func() {
-			h := newLinkHarness(true, never, newEndpoint("i-1"), newEndpoint("i-2"))
+			h := newLinkHarness(true, never, 2)
 			Reset(h.close)
 			resp := h.send("POST", "/status/x", "{}", map[string]string{"X-Deadline-Ms": "1200", "Pumiceshelf-Delegated-By": "front-7"})
 			So(resp.status, ShouldEqual, 503)
@@ -265,8 +283,12 @@
 
 // TestInstancesAreNotAvoidedForABusyLink guards against other instances that get no requests because the own link is full.
 func TestInstancesAreNotAvoidedForABusyLink(t *testing.T) {
+	synctest.Test(t, testInstancesAreNotAvoidedForABusyLink)
+}
+
+func testInstancesAreNotAvoidedForABusyLink(t *testing.T) {
 	Convey("Given a service out of reach on a busy link, and another instance to which connecting times out once", t, func() {
-		h := newLinkHarness(true, 0, newFakeEndpoint("i-1", respondWith(200, "ok")))
+		h := newLinkHarness(true, 0, 1)
 		Reset(h.close)
 		h.refuse.Store(true)
 		h.instanceDelay.Store(int64(never))
--- a/gateway/crash_others_test.go
+++ b/gateway/crash_others_test.go
@@ -3,16 +3,20 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/internal/memorynet"
 	"pumiceshelf/quarantine"
 	"pumiceshelf/registry"
 )
 
 // The instance that lost a request may end before it checks the endpoint. Another one must check it in its place.
-func TestCheckForOtherInstances(t *testing.T) {
+func TestCheckForOtherInstances(t *testing.T) { synctest.Test(t, testCheckForOtherInstances) }
+
+func testCheckForOtherInstances(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		ended   bool
@@ -23,8 +27,9 @@
 		{"does not count if the endpoint runs", false, 0, "gateway: endpoint has not ended, although requests were lost before their first event"},
 	} {
 		Convey("a loss that another instance passed on "+c.name, t, func() {
-			e := newFakeEndpoint("i-1", abortConnection)
-			h := newHarness(e)
+			network := new(memorynet.Network)
+			e := newFakeEndpointIn(network, "i-1", abortConnection)
+			h := newHarnessIn(network, e)
 			Reset(h.close)
 			h.config.Quarantine = quarantine.New(quarantine.Config{OnLoss: func(e registry.Endpoint) { h.gateway.CheckForOthers(e) }})
 			h.restart()
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/internal/memorynet"
 	"pumiceshelf/placement"
 	"pumiceshelf/registry"
 	"pumiceshelf/retrybudget"
@@ -73,11 +75,12 @@
 
 // newStandbyHarness returns a gateway that prefers the first of the endpoints, and soon sends a second attempt if that is silent.
 func newStandbyHarness(handlers ...http.HandlerFunc) *harness {
+	network := new(memorynet.Network)
 	var endpoints []*fakeEndpoint
 	for i, handle := range handlers {
-		endpoints = append(endpoints, newFakeEndpoint(fmt.Sprint("i-", i+1), handle))
+		endpoints = append(endpoints, newFakeEndpointIn(network, fmt.Sprint("i-", i+1), handle))
 	}
-	h := newHarness(endpoints...)
+	h := newHarnessIn(network, endpoints...)
 	Reset(h.close)
 	h.preferFirst()
 	h.changeRoutes(func(r *routing.Route) {
@@ -126,6 +129,10 @@
 // TestFirstEndpointGoesOnDuringAStandbyAttempt guards against events of two attempts in one stream, and a second attempt that
 // goes on beside the first.
 func TestFirstEndpointGoesOnDuringAStandbyAttempt(t *testing.T) {
+	synctest.Test(t, testFirstEndpointGoesOnDuringAStandbyAttempt)
+}
+
+func testFirstEndpointGoesOnDuringAStandbyAttempt(t *testing.T) {
 	for _, c := range []struct {
 		path, body string
 		charged    int
@@ -166,6 +173,10 @@
 
 // TestFirstAttemptEndsWhenTheStandbyAttemptBegins guards against two endpoints that both work on one request.
 func TestFirstAttemptEndsWhenTheStandbyAttemptBegins(t *testing.T) {
+	synctest.Test(t, testFirstAttemptEndsWhenTheStandbyAttemptBegins)
+}
+
+func testFirstAttemptEndsWhenTheStandbyAttemptBegins(t *testing.T) {
 	for _, c := range []struct {
 		path, body string
 		charged    int
@@ -209,6 +220,10 @@
 
 // TestCrashDuringAStandbyAttemptWaitsForIt guards against a third attempt while the second is in progress.
 func TestCrashDuringAStandbyAttemptWaitsForIt(t *testing.T) {
+	synctest.Test(t, testCrashDuringAStandbyAttemptWaitsForIt)
+}
+
+func testCrashDuringAStandbyAttemptWaitsForIt(t *testing.T) {
 	for _, c := range []struct{ path, body string }{{"/plan/", eventsUpTo(3)}, {"/fetch/", "x"}} {
 		Convey("if the first endpoint crashes, a request to "+c.path+" goes on at the second", t, func() {
 			var h *harness
@@ -259,7 +274,9 @@
 }
 
 // TestStandbyAttemptsAreBounded guards against sends beyond max_attempts and the retry budget.
-func TestStandbyAttemptsAreBounded(t *testing.T) {
+func TestStandbyAttemptsAreBounded(t *testing.T) { synctest.Test(t, testStandbyAttemptsAreBounded) }
+
+func testStandbyAttemptsAreBounded(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		change  func(*harness)
@@ -311,6 +328,10 @@
 
 // TestSilentStandbyAttemptIsReplaced guards against a request that waits at two silent endpoints beside a third that responds.
 func TestSilentStandbyAttemptIsReplaced(t *testing.T) {
+	synctest.Test(t, testSilentStandbyAttemptIsReplaced)
+}
+
+func testSilentStandbyAttemptIsReplaced(t *testing.T) {
 	Convey("a request whose second endpoint is silent too goes on at the third", t, func() {
 		second := func(_ http.ResponseWriter, r *http.Request) { forever(r) }
 		var h *harness
@@ -330,6 +351,10 @@
 
 // TestEndOfARequestEndsItsStandbyAttempt guards against endpoints that go on after the caller canceled or the timeout expired.
 func TestEndOfARequestEndsItsStandbyAttempt(t *testing.T) {
+	synctest.Test(t, testEndOfARequestEndsItsStandbyAttempt)
+}
+
+func testEndOfARequestEndsItsStandbyAttempt(t *testing.T) {
 	for _, path := range []string{"/plan/", "/fetch/"} {
 		for _, c := range []struct {
 			name, reason string
@@ -359,8 +384,9 @@
 				req.Host = "a.example"
 				req.Header.Set("X-Request-Id", "id-1")
 				req.Header.Set("Api-Key", "key")
+				transport := &http.Transport{DialContext: h.network.DialContext}
 				go func() {
-					if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+					if resp, err := transport.RoundTrip(req); err == nil {
 						_, _ = io.Copy(io.Discard, resp.Body)
 						resp.Body.Close()
 					}
@@ -382,15 +408,22 @@
 
 // TestRequestOfADroppedStandbyAttemptMayHaveRun guards against "not run" for a request that only the second endpoint received.
 func TestRequestOfADroppedStandbyAttemptMayHaveRun(t *testing.T) {
+	synctest.Test(t, testRequestOfADroppedStandbyAttemptMayHaveRun)
+}
+
+func testRequestOfADroppedStandbyAttemptMayHaveRun(t *testing.T) {
 	Convey("a request whose first endpoint accepts no connection may have run at the second", t, func() {
 		h := newStandbyHarness(respondNotRun, func(_ http.ResponseWriter, r *http.Request) { forever(r) })
 		firstAddress := h.endpoints[0].registration().Address
+		ended := make(chan struct{})
+		Reset(func() { close(ended) })
 		h.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			if address == firstAddress {
-				<-ctx.Done()
-				return nil, ctx.Err()
+				// The transport does not cancel the dial of a request that has ended.
+				<-ended
+				return nil, context.Canceled
 			}
-			return (&net.Dialer{}).DialContext(ctx, network, address)
+			return h.network.DialContext(ctx, network, address)
 		}
 		h.restart()
 		resp := h.send("POST", "/fetch/", "b", map[string]string{"X-Deadline-Ms": "600"})
@@ -402,6 +435,10 @@
 
 // TestEndpointsThatGoOnAtTheSameTime guards against lost, repeated and joined events when both endpoints go on at once.
 func TestEndpointsThatGoOnAtTheSameTime(t *testing.T) {
+	synctest.Test(t, testEndpointsThatGoOnAtTheSameTime)
+}
+
+func testEndpointsThatGoOnAtTheSameTime(t *testing.T) {
 	Convey("each event arrives once and in order", t, func() {
 		pause := func(from, to time.Duration) { time.Sleep(from + rand.N(to-from)) }
 		handle := func(w http.ResponseWriter, r *http.Request) {
