--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -163,6 +163,10 @@
 
 // pause waits and returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		// Several timers of 0 s at the same time crash the Go runtime (go1.26.8) in a synctest bubble under the race detector.
+		return ctx.Err() == nil
+	}
 	select {
 	case <-ctx.Done():
 		return false
