Write messages of the standard library to the bounded log

Cause: net/http prints bytes that an endpoint sends after a response to standard error, which has neither a bound nor a rate limit.

--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -51,6 +51,7 @@
 	registry := metrics.NewRegistry()
 	sink := logsink.New(os.Stdout, s.Log.Format, registry)
 	logger := &log.Logger{Handler: sink, Level: log.MustParseLevel(s.Log.Level)}
+	logsink.CaptureStandard(logger)
 	sinkCtx, stopSink := context.WithCancel(context.Background())
 	sinkDone := make(chan struct{})
 	go func() {
