Find endpoints out of reach on a busy link while requests use established connections

Cause: on a busy link, a connection that times out is the fault of an endpoint only if a later connection to another one was established. While all requests go over established connections no new one begins, so that an endpoint out of reach was not ejected for as long as that lasted: seven of 42 processes with 12 plays each of TestTimeoutsOnABusyLink under contention, up to 10 s. A trace of the connections shows none to other endpoints after the first 20 ms, and 2,000 requests. Change: a response of another endpoint to a request that was sent later shows the same as a connection. Only instances with linkMbps in their settings.

--- a/gateway/busylink.go
+++ b/gateway/busylink.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// responded records that an endpoint responded to a request sent at the given time.
+func (l *BusyLink) responded(address string, sent time.Time) {
+	if l != nil {
+		l.dials.Responded(address, sent, l.clock.Now())
+	}
+}
+
 // awaitExtension waits until the longer timeout is over, or the connection is established or failed.
 func (l *BusyLink) awaitExtension(ctx context.Context, usual time.Duration) {
 	limit := linkload.MaxDialTime
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -377,6 +377,7 @@
 	if err != nil {
 		return j.roundTripFailure(ticket, err, a.written.Load())
 	}
+	g.config.Link.responded(ticket.Endpoint.Address, sentAt)
 	a.resp, a.meta, a.events = resp, g.config.Headers.ParseResponse(resp.StatusCode, resp.Header), newEventReader(resp.Body, &g.buffered)
 	if a.meta.RequestID != "" && a.meta.RequestID != j.meta.ID {
 		j.logger().WithFields(log.Fields{"endpoint": ticket.Endpoint.ID, "other_id": a.meta.RequestID}).Warn("gateway: dropped a response to another request")
--- a/linkload/dials.go
+++ b/linkload/dials.go
@@ -23,12 +23,13 @@
 
 // Dials decides whether a connection that timed out while the link was busy is the fault of the other side. The link delays and drops
 // packets of all connections, so a timeout alone does not tell. It is the fault of an address if no connection to it was
-// established for MaxDialTime, while one to another address was that began later: packets get through the link, but not to this address.
+// established for MaxDialTime, while one to another address was that began later, or another address responded to a request that was sent
+// later: packets get through the link, but not to this address.
 // The zero value is ready to use. It is safe for concurrent use.
 type Dials struct {
 	mu       sync.Mutex
 	suspects map[string]suspect
-	// connections holds the last established connection to each address, for suspicionMemory at least.
+	// connections holds the last established connection to each address, or request with a response, for suspicionMemory at least.
 	connections map[string]connection
 	// prunedAt is when old connections were last deleted.
 	prunedAt time.Time
@@ -47,6 +48,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.suspects, address)
+	d.recordConnection(address, began, now)
+}
+
+// Responded records that an address responded to a request sent at the given time. Where callers are served over established connections,
+// no new one may begin for many seconds, and an address out of reach would never be found to be at fault.
+func (d *Dials) Responded(address string, sent, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.suspects) == 0 {
+		return
+	}
+	delete(d.suspects, address)
+	d.recordConnection(address, sent, now)
+}
+
+// recordConnection records that packets to an address and back got through since the given time. The caller holds the mutex.
+func (d *Dials) recordConnection(address string, began, now time.Time) {
 	if d.connections == nil {
 		d.connections = make(map[string]connection)
 	}
@@ -58,6 +76,9 @@
 			}
 		}
 	}
+	if last := d.connections[address].began; last.After(began) {
+		began = last
+	}
 	d.connections[address] = connection{began, now}
 }
 
--- a/linkload/dials_test.go
+++ b/linkload/dials_test.go
@@ -46,6 +46,21 @@
 			So(d.TimedOut("a", at(500), at(1000)), ShouldBeFalse)
 			So(d.TimedOut("a", at(1000), at(1500)), ShouldBeTrue)
 		})
+		Convey("one that timed out is also at fault if another address responded to a later request over an older connection", func() {
+			d.Connected("b", at(-10), at(-5))
+			So(d.TimedOut("a", at(0), at(500)), ShouldBeFalse)
+			So(d.TimedOut("a", at(500), at(1000)), ShouldBeFalse)
+			d.Responded("b", at(1100), at(1200))
+			So(d.TimedOut("a", at(1000), at(1500)), ShouldBeTrue)
+		})
+		Convey("a response to an earlier request shows nothing, and one of the same address ends the suspicion", func() {
+			So(d.TimedOut("a", at(0), at(500)), ShouldBeFalse)
+			d.Responded("b", at(-100), at(600))
+			So(d.TimedOut("a", at(500), at(1500)), ShouldBeFalse)
+			d.Responded("b", at(1600), at(1700))
+			d.Responded("a", at(1600), at(1700))
+			So(d.TimedOut("a", at(1650), at(2000)), ShouldBeFalse)
+		})
 		Convey("an earlier connection to another address shows nothing", func() {
 			d.Connected("b", at(-10), at(900))
 			So(d.TimedOut("a", at(0), at(1500)), ShouldBeFalse)
