--- a/gateway/busylink.go
+++ b/gateway/busylink.go
@@ -23,7 +23,7 @@
 var (
 	descLinkExtended = telemetry.Describe("gateway.link.dials.extended", "connections", "Connections that got a longer timeout because the own network link was busy.")
 	descLinkTimeouts = telemetry.Describe("gateway.link.dials.timed_out", "connections", "Connections that timed out while the own network link was busy, which was not taken for a fault of the other side.")
-	descLinkFaults   = telemetry.Describe("gateway.link.dials.faults", "connections", "Connections that timed out while the own network link was busy, which was taken for a fault of the other side because connections elsewhere were established.")
+	descLinkFaults   = telemetry.Describe("gateway.link.dials.faults", "connections", "Connections that timed out while the own network link was busy, which was taken for a fault of the other side because connections elsewhere were established or requests elsewhere got a response.")
 	descLinkKept     = telemetry.Describe("gateway.link.kept", "requests", "Requests that were not passed on to another instance because connecting to endpoints timed out on the own network link.")
 )
 
--- a/gateway/busylink_test.go
+++ b/gateway/busylink_test.go
@@ -51,8 +51,8 @@
 // never is a time in which no connection is established.
 const never = time.Hour
 
-// newLinkHarness returns a gateway in front of the given number of endpoints. It must run in a synctest bubble, since its connections
-// time out.
+// newLinkHarness returns a gateway in front of the given number of endpoints. It must run in a synctest bubble: tests compare exact
+// durations, and close waits for timeouts.
 func newLinkHarness(busy bool, delay time.Duration, count int) *linkHarness {
 	network := new(memorynet.Network)
 	var endpoints []*fakeEndpoint
@@ -237,6 +237,38 @@
 	})
 }
 
+// TestResponsesShowThatABusyLinkCarriesPackets guards against an endpoint out of reach that is not found while all other requests go over
+// established connections.
+func TestResponsesShowThatABusyLinkCarriesPackets(t *testing.T) {
+	synctest.Test(t, testResponsesShowThatABusyLinkCarriesPackets)
+}
+
+func testResponsesShowThatABusyLinkCarriesPackets(t *testing.T) {
+	Convey("Given three endpoints with idle connections, of which the first is out of reach from now on", t, func() {
+		h := newLinkHarness(true, 0, 3)
+		Reset(h.close)
+		sendSome := func(n int) {
+			for range n {
+				go h.send("POST", "/fetch/x", "{}", map[string]string{"X-Deadline-Ms": "1000"})
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for range 10 {
+			sendSome(8)
+		}
+		h.setDelay(h.endpoints[0], never)
+		h.endpoints[0].server.CloseClientConnections()
+		Convey("it is ejected within the longer timeout and one connection", func() {
+			begin := time.Now()
+			for h.logged(logEjected) == 0 && time.Since(begin) < 10*time.Second {
+				sendSome(4)
+			}
+			So(time.Since(begin), ShouldBeLessThan, linkload.MaxDialTime+time.Second)
+			So(h.linkCount("dials.faults"), ShouldBeGreaterThanOrEqualTo, 1)
+		})
+	})
+}
+
 // TestRequestsOnABusyLinkAreNotPassedOn guards against requests that take the bytes of a full link a second time, on the way to another
 // instance, and against ones that are kept although the own link is free or another instance asks for a decision.
 func TestRequestsOnABusyLinkAreNotPassedOn(t *testing.T) {
--- a/linkload/dials.go
+++ b/linkload/dials.go
@@ -24,14 +24,14 @@
 // Dials decides whether a connection that timed out while the link was busy is the fault of the other side. The link delays and drops
 // packets of all connections, so a timeout alone does not tell. It is the fault of an address if no connection to it was
 // established for MaxDialTime, while one to another address was that began later, or another address responded to a request that was sent
-// later: packets get through the link, but not to this address.
+// later: packets get through the link, but not to this address. An address that responds is not at fault, even if it accepts no new connections.
 // The zero value is ready to use. It is safe for concurrent use.
 type Dials struct {
 	mu       sync.Mutex
 	suspects map[string]suspect
-	// connections holds the last established connection to each address, or request with a response, for suspicionMemory at least.
-	connections map[string]connection
-	// prunedAt is when old connections were last deleted.
+	// contacts holds the last one with each address, for suspicionMemory at least.
+	contacts map[string]contact
+	// prunedAt is when old contacts were last deleted.
 	prunedAt time.Time
 }
 
@@ -41,18 +41,20 @@
 	since, last time.Time
 }
 
-type connection struct{ began, established time.Time }
+// contact is a connection that was established, or a request with a response.
+type contact struct{ began, ended time.Time }
 
 // Connected records that a connection was established that began at the given time.
 func (d *Dials) Connected(address string, began, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.suspects, address)
-	d.recordConnection(address, began, now)
+	d.recordContact(address, began, now)
 }
 
 // Responded records that an address responded to a request sent at the given time. Where callers are served over established connections,
-// no new one may begin for many seconds, and an address out of reach would never be found to be at fault.
+// no new one may begin for many seconds, and an address out of reach would never be found to be at fault. A response that took longer
+// than a connection may shows nothing of other addresses. While no connection has timed out, nothing is recorded.
 func (d *Dials) Responded(address string, sent, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -60,33 +62,35 @@
 		return
 	}
 	delete(d.suspects, address)
-	d.recordConnection(address, sent, now)
+	if now.Sub(sent) <= MaxDialTime {
+		d.recordContact(address, sent, now)
+	}
 }
 
-// recordConnection records that packets to an address and back got through since the given time. The caller holds the mutex.
-func (d *Dials) recordConnection(address string, began, now time.Time) {
-	if d.connections == nil {
-		d.connections = make(map[string]connection)
+// recordContact records that packets to an address and back got through since the given time. The caller holds the mutex.
+func (d *Dials) recordContact(address string, began, now time.Time) {
+	if d.contacts == nil {
+		d.contacts = make(map[string]contact)
 	}
 	if now.Sub(d.prunedAt) >= suspicionMemory {
 		d.prunedAt = now
-		for other, c := range d.connections {
-			if now.Sub(c.established) > suspicionMemory {
-				delete(d.connections, other)
+		for other, c := range d.contacts {
+			if now.Sub(c.ended) > suspicionMemory {
+				delete(d.contacts, other)
 			}
 		}
 	}
-	if last := d.connections[address].began; last.After(began) {
+	if last := d.contacts[address].began; last.After(began) {
 		began = last
 	}
-	d.connections[address] = connection{began, now}
+	d.contacts[address] = contact{began, now}
 }
 
 // TimedOut records that a connection that began at the given time timed out. It reports whether that is the fault of the address.
 func (d *Dials) TimedOut(address string, began, now time.Time) (fault bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.connections[address].established.After(began) {
+	if d.contacts[address].ended.After(began) {
 		return false
 	}
 	for other, s := range d.suspects {
@@ -103,12 +107,12 @@
 		d.suspects = make(map[string]suspect)
 	}
 	d.suspects[address] = s
-	return now.Sub(s.since) >= MaxDialTime && d.connectedOther(address, s.since)
+	return now.Sub(s.since) >= MaxDialTime && d.reachedOther(address, s.since)
 }
 
-// connectedOther reports whether a connection to another address was established that began after the given time.
-func (d *Dials) connectedOther(address string, after time.Time) bool {
-	for other, c := range d.connections {
+// reachedOther reports whether there was a contact with another address that began after the given time.
+func (d *Dials) reachedOther(address string, after time.Time) bool {
+	for other, c := range d.contacts {
 		if other != address && c.began.After(after) {
 			return true
 		}
--- a/placement/domain.go
+++ b/placement/domain.go
@@ -46,6 +46,8 @@
 	if len(d.unreachableEndpoints) < partitionThreshold {
 		c.endEjection(e.ID)
 		delete(d.unreachableEndpoints, e.ID)
+		// The domain may still be skipped for endpoints that have left since.
+		d.skipUntil = time.Time{}
 		return
 	}
 	for id := range d.unreachableEndpoints {
--- a/placement/domain_internal_test.go
+++ b/placement/domain_internal_test.go
@@ -38,6 +38,11 @@
 			So(c.OutOfReach(other), ShouldBeFalse)
 			So(c.OutOfReach(endpoints[0]), ShouldBeTrue)
 		})
+		Convey("once one has left, a connection to the other one ends the pause of the domain", func() {
+			c.Retain(func(id string) bool { return id != "i-1" }, now)
+			c.Reached(endpoints[0])
+			So(c.domains["hall-a"].partitioned(now), ShouldBeFalse)
+		})
 		Convey("the pause of a partitioned domain goes on after both have left, and nothing is kept later", func() {
 			c.Retain(func(string) bool { return false }, now)
 			So(c.domains["hall-a"].partitioned(now), ShouldBeTrue)
