--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -21,9 +21,11 @@
 	done                  chan struct{}
 }
 
-// freeAddress returns a loopback address that nothing listens on now.
+// freeAddress returns a loopback address that nothing listens on now. Its IP address belongs to this process alone, so that no
+// connection takes the port before a machine listens on it.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, max(pid&0xff, 2)))
 	if err != nil {
 		return "", err
 	}
