--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,6 +23,8 @@
 	whole            bool
 	body             string
 	err              error
+	// post is set if the request is a POST, which on the route for plain requests may run once.
+	post bool
 }
 
 var lastID atomic.Int64
@@ -52,7 +54,7 @@
 
 // send sends one request to a machine and reads the whole answer.
 func (c *clients) send(m *machine, r request) *attempt {
-	a := &attempt{id: newID(), machine: m.name, key: r.key, sent: time.Now()}
+	a := &attempt{id: newID(), machine: m.name, key: r.key, sent: time.Now(), post: r.method == http.MethodPost}
 	c.mu.Lock()
 	c.all = append(c.all, a)
 	c.mu.Unlock()
--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -25,14 +25,23 @@
 // connection takes the port before a machine listens on it.
 func freeAddress() (string, error) {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, max(pid&0xff, 2)))
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, max(pid&0xff, 2)))
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		l.Close()
+		if !taken[address] {
+			taken[address] = true
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
+// taken holds the addresses that freeAddress has returned.
+var taken = make(map[string]bool)
+
 func newMachine(folder, name, zone string) (*machine, error) {
 	m := &machine{name: name, zone: zone, settings: filepath.Join(folder, name+".json"), log: filepath.Join(folder, name+".log")}
 	for _, a := range []*string{&m.front, &m.ready, &m.control} {
