Review case 3: a restart in a quiet time goes unseen, and streams of two software versions are joined

One of six servers crashes while no client sends a request, is back under its id as a newer version, and crashes again before its next liveness report.

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,6 +27,9 @@
 	running                    atomic.Int64
 	hang                       atomic.Bool
 	server                     *http.Server
+	// version is that of the server's software, born when its process started.
+	version string
+	born    time.Time
 
 	mu   sync.Mutex
 	runs []run
@@ -37,8 +40,24 @@
 	if err != nil {
 		return err
 	}
-	e.address, e.server = l.Addr().String(), &http.Server{Handler: e}
+	e.address, e.version = l.Addr().String(), "v1"
+	e.serve(l)
+	return nil
+}
+
+func (e *engine) serve(l net.Listener) {
+	e.born, e.server = time.Now(), &http.Server{Handler: e}
 	go e.server.Serve(l)
+}
+
+// startAgain starts a server again after a crash, under the ID and at the address that it had, as another software version.
+func (e *engine) startAgain(version string) error {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	e.version = version
+	e.serve(l)
 	return nil
 }
 
@@ -48,8 +67,8 @@
 // entry is what the server writes into the store.
 func (e *engine) entry() map[string]any {
 	return map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
-		"cold_left_ms": 0, "call_seq": 0, "born": time.Now().UnixMilli(),
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": "ready",
+		"cold_left_ms": 0, "call_seq": 0, "born": e.born.UnixMilli(),
 	}
 }
 
@@ -97,9 +116,10 @@
 	tokens, _ := strconv.Atoi(strings.TrimSpace(out))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	h.Set("Content-Type", "text/event-stream")
+	version := e.version
 	time.Sleep(e.firstEvent)
 	for n := last + 1; n <= (tokens+e.stride-1)/e.stride; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s by %s\n\n", n, n, id, version); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
