--- a/review/standin/restore.go
+++ b/review/standin/restore.go
@@ -83,8 +83,9 @@
 	w.clients.load(restoreRate, 8*time.Second, nil, one(added))
 	w.clients.wait.Wait()
 	spent := w.spent()
-	w.note("in the end %d tokens of %d are spent, ledger %s", spent, restorePrepaid, w.store.spec("pumiceshelf-prepaid/ledger"))
+	w.note("ledger %s", w.store.spec("pumiceshelf-prepaid/ledger"))
 	w.recordAttempts()
+	w.note("in the end %d tokens of %d are spent", spent, restorePrepaid)
 	return spent > restorePrepaid, nil
 }
 
