Log why no endpoint certainly runs the version of a resumed stream

The reason version-unavailable did not tell whether connections were lost, the contact with the store was short, or no endpoint was listed. The line has these counts.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -221,6 +221,7 @@
 		return reasonEvacuated
 	}
 	if j.origin != nil {
+		j.logUncertain()
 		return reasonVersionUnavailable
 	}
 	return reasonNoEndpoint
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// logUncertain logs why no endpoint gets a stream that has begun.
+func (j *job) logUncertain() {
+	var listed, tried, lost int
+	now := j.gateway.config.Clock.Now()
+	for _, e := range j.gateway.config.Endpoints().Endpoints(j.service, now) {
+		if e.SoftwareVersion != j.origin.Version {
+			continue
+		}
+		listed++
+		switch {
+		case j.triedEndpoints[e.ID]:
+			tried++
+		case j.gateway.config.Chooser.LostConnection(e, now.Add(-RestartPeriod)):
+			lost++
+		}
+	}
+	age, lasted := j.gateway.config.Contact()
+	j.logger().WithFields(log.Fields{
+		"software_version": j.origin.Version, "listed": listed, "tried": tried, "lost_connection": lost,
+		"began_uncertain": j.versionUncertain, "contact_age_ms": age.Milliseconds(), "contact_ms": lasted.Milliseconds(),
+	}).Info("gateway: no endpoint certainly runs the version that began the stream")
+}
+
 // candidates returns the endpoints that may get the request: those of the service, or for a stream that has begun, those
 // that certainly run the version that began it.
 func (j *job) candidates(now time.Time) []registry.Endpoint {
