Ask endpoints which process they are before streams are recorded or resumed there

Cause: certainty about the process of an endpoint ended with any lost connection to it, or with the instance's contact with the store, and only 5 s of contact brought it back. After a reset of all connections, at the instances of the log line all listed endpoints of the version had lost one, with the contact intact; streams that began meanwhile had no recorded origin. The class: the absence of a sign that something changed was taken for knowledge, in place of the word of the endpoint itself.

Change: an endpoint is asked for its report when a stream begins there or is to be resumed there, unless it has confirmed its entry on a connection that lasts. The start time that it names decides; the former rules decide where an endpoint does not say.

TestStreamsGoOnWhereEndpointsConfirmTheirEntries fails without it.

--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -79,7 +79,7 @@
 		Store: objects, Collections: objects,
 	})
 	r := router.New(router.Config{
-		Settings: s, Store: store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, SharesAllLoads: platform.SharesLoadReports(s.DeploymentFeatures),
+		Settings: s, Store: store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Reports: platform.Reports{}, SharesAllLoads: platform.SharesLoadReports(s.DeploymentFeatures),
 		Clock: clock, Log: logger, Metrics: registry,
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -42,13 +42,17 @@
 
 // fakeEndpoint is an HTTP server that records each request before its handler runs.
 type fakeEndpoint struct {
-	id       string
-	server   *httptest.Server
-	version  string
+	id      string
+	server  *httptest.Server
+	version string
+	// started is when its entry says that the process started, zero if it does not.
+	started  int64
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
 	handle   http.HandlerFunc
+	// report handles the requests for what the endpoint says of its process, which are not recorded. If nil, it has no such report.
+	report http.HandlerFunc
 }
 
 func newFakeEndpoint(id string, handle http.HandlerFunc) *fakeEndpoint {
@@ -59,6 +63,14 @@
 func newFakeEndpointIn(n *memorynet.Network, id string, handle http.HandlerFunc) *fakeEndpoint {
 	e := &fakeEndpoint{id: id, version: "v1", handle: handle}
 	e.server = startServer(n, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == (platform.Reports{}).Path() {
+			if e.report == nil {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			e.report(w, r)
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		e.mu.Lock()
 		e.requests, e.bodies = append(e.requests, r), append(e.bodies, string(body))
@@ -75,7 +87,7 @@
 }
 
 func (e *fakeEndpoint) registration() registry.Endpoint {
-	return registry.Endpoint{ID: e.id, Service: "model", Address: strings.TrimPrefix(e.server.URL, "http://"), Domain: "hall-a", SoftwareVersion: e.version}
+	return registry.Endpoint{ID: e.id, Service: "model", Address: strings.TrimPrefix(e.server.URL, "http://"), Domain: "hall-a", SoftwareVersion: e.version, StartedUnixMilli: e.started}
 }
 
 // respondWith returns a handler that responds with the request's ID and a server stamp.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -206,6 +206,7 @@
 // response, the same endpoint may be chosen again.
 func (j *job) pickEndpoint(last failure) placement.Choice {
 	g := j.gateway
+	j.confirmVersion(g.config.Clock.Now())
 	now := g.config.Clock.Now()
 	endpoints := j.candidates(now)
 	choice := g.config.Chooser.Pick(endpoints, j.placementRequest(), j.triedEndpoints, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,8 @@
 	// ConfirmVersions returns the software versions of a service's endpoints that the store lists, in a listing that begins after the
 	// call. If nil, those that are known count as confirmed.
 	ConfirmVersions func(ctx context.Context, service string) ([]string, error)
+	// Reports reads what endpoints say of their own process. If nil, they are not asked.
+	Reports ProcessReports
 	// KnowsOneVersion reports whether this instance has lately seen endpoints of a service of one version only. If nil, it has not.
 	KnowsOneVersion func(service string) bool
 	// Origins records and finds which version began a stream.
@@ -112,6 +114,7 @@
 	transport, singleTransport, delegateTransport *http.Transport
 	refusals                                      refusals
 	lasting                                       lastingConnections
+	processes                                     processChecks
 	metrics                                       *gatewayMetrics
 	crashes                                       *crashDetector
 	restarts                                      *restartDetector
@@ -147,6 +150,7 @@
 	}
 	g := &Gateway{config: c, delegateTransport: newTransport(c.DialInstance), metrics: newGatewayMetrics(c.Metrics)}
 	g.stopping, g.stop = context.WithCancel(context.Background())
+	g.processes.gateway, g.processes.byID = g, make(map[string]*processCheck)
 	g.restarts = &restartDetector{gateway: g, checked: make(map[string]bool)}
 	dial := watchConnections(c.Dial, g.restarts.connectionEnded, &g.lasting, c.Clock.Now)
 	g.transport, g.singleTransport = newTransport(dial), newTransport(dial)
@@ -167,6 +171,9 @@
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inflight.Load() }
 
+// RetainEndpoints forgets what is known of endpoints for which listed returns false.
+func (g *Gateway) RetainEndpoints(listed func(id string) bool) { g.processes.retain(listed) }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inflight.Add(1)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -54,6 +54,8 @@
 	origin           *origin.Origin
 	firstEndpoint    registry.Endpoint
 	versionUncertain bool
+	// versionCheck is the question to that endpoint which process it is, or nil.
+	versionCheck *processCheck
 
 	reservation *prepaid.Reservation
 	// mayHaveRun is set once an endpoint may have run the request.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,9 @@
 	descCold              = telemetry.Describe("gateway.attempts.cold", "requests", "Requests sent to cold endpoints, within the rate that they handle.")
 	descCrashes           = telemetry.Describe("gateway.endpoint_crashes", "crashes", "Endpoint processes found to have ended while requests waited for their first event.")
 	descDelegated         = telemetry.Describe("gateway.delegated", "requests", "Requests that another instance answered because their service was out of reach.")
+	descProcessConfirmed  = telemetry.Describe("gateway.processes.confirmed", "reports", "Endpoints that were asked which process they are, and confirmed their entry.")
+	descProcessOther      = telemetry.Describe("gateway.processes.other", "reports", "Endpoints that were asked which process they are, and are another one than their entry says.")
+	descProcessUnknown    = telemetry.Describe("gateway.processes.unknown", "reports", "Endpoints that were asked which process they are, and did not say.")
 	descTotalLatency      = telemetry.Describe("gateway.latency.total", "nanoseconds", "Time to the end of an endpoint's whole answer.")
 	descFirstEventLatency = telemetry.Describe("gateway.latency.first_event", "nanoseconds", "Time to the first event of a stream.")
 )
@@ -42,17 +45,20 @@
 }
 
 type gatewayMetrics struct {
-	requests, completed, attempts   metrics.Counter
-	limited, cold                   metrics.Counter
-	crashes, delegated              metrics.Counter
-	totalLatency, firstEventLatency metrics.Timer
-	ended, retried                  map[reason]metrics.Counter
+	requests, completed, attempts metrics.Counter
+	limited, cold                 metrics.Counter
+	crashes, delegated            metrics.Counter
+	// These count the questions to endpoints which process they are, by the answer.
+	processesConfirmed, processesOther, processesUnknown metrics.Counter
+	totalLatency, firstEventLatency                      metrics.Timer
+	ended, retried                                       map[reason]metrics.Counter
 }
 
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
 	m := &gatewayMetrics{
 		requests: descRequests.Counter(r), completed: descCompleted.Counter(r), attempts: descAttempts.Counter(r), limited: descLimited.Counter(r), cold: descCold.Counter(r),
 		crashes: descCrashes.Counter(r), delegated: descDelegated.Counter(r),
+		processesConfirmed: descProcessConfirmed.Counter(r), processesOther: descProcessOther.Counter(r), processesUnknown: descProcessUnknown.Counter(r),
 		totalLatency: descTotalLatency.Timer(r), firstEventLatency: descFirstEventLatency.Timer(r),
 		ended: make(map[reason]metrics.Counter), retried: make(map[reason]metrics.Counter),
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -80,8 +80,33 @@
 		listed := j.gateway.config.Endpoints().Endpoints(j.service, j.gateway.config.Clock.Now())
 		j.versionUncertain = j.firstEndpointRestarted(listed) || !j.isListedAsRunning()(e)
 	}
-	if j.route.Resumable && !j.versionUncertain && j.origin.Attempt != "" {
+	if !j.route.Resumable || j.origin.Attempt == "" {
+		return
+	}
+	began := j.firstEndpoint.ID != ""
+	if began && j.versionCheck == nil && !j.gateway.isConfirmed(j.firstEndpoint) {
+		if j.versionCheck = j.gateway.processes.begin(j.firstEndpoint); j.versionCheck != nil {
+			go j.recordAfterCheck(j.versionCheck, *j.origin, !j.versionUncertain)
+			return
+		}
+	}
+	switch j.versionCheck.resultNow() {
+	case processConfirmed:
 		j.gateway.config.Origins.RecordOrigin(*j.origin)
+	case processUnknown:
+		if !j.versionUncertain {
+			j.gateway.config.Origins.RecordOrigin(*j.origin)
+		}
+	case processOther, processAsked:
+	}
+}
+
+// recordAfterCheck records the origin of a stream once its endpoint has said which process it is, or if it says nothing and its entry
+// is certain otherwise. It does not wait for the next event: the caller may have to resume the stream before.
+func (j *job) recordAfterCheck(c *processCheck, o origin.Origin, listed bool) {
+	<-c.done
+	if c.result == processConfirmed || c.result == processUnknown && listed {
+		j.gateway.config.Origins.RecordOrigin(o)
 	}
 }
 
@@ -100,8 +125,8 @@
 // entry is up to date, and was read so long after the endpoint may have started again that it would name the new process. Before
 // its contact with the store has lasted for so long, an instance does not know which endpoints have: those that lost their
 // connections may have been killed, and after an outage of the store endpoints register late. Until then only those are certain to
-// which a connection has lasted since they were. It does not depend on how many versions are known, because the first endpoint of
-// another one is listed late as well.
+// which a connection has lasted since they were. An endpoint that has said itself which process it is, on a connection that lasts, is certain
+// in any case. It does not depend on how many versions are known, because the first endpoint of another one is listed late as well.
 func (j *job) isListedAsRunning() func(registry.Endpoint) bool {
 	g := j.gateway
 	age, lasted := g.config.Contact()
@@ -114,7 +139,9 @@
 	inContact := age <= registry.MaxContactGap && lasted >= RestartPeriod
 	return func(e registry.Endpoint) bool {
 		switch {
-		case lost(e, lostAfter):
+		case g.isConfirmed(e):
+			return true
+		case lost(e, lostAfter), g.processes.last(e) == processOther:
 			return false
 		case inContact:
 			g.lasting.certify(e)
@@ -126,7 +153,7 @@
 
 // logUncertain logs why no endpoint gets a stream that has begun.
 func (j *job) logUncertain() {
-	var listed, tried, lost int
+	var listed, tried, lost, other int
 	now := j.gateway.config.Clock.Now()
 	for _, e := range j.gateway.config.Endpoints().Endpoints(j.service, now) {
 		if e.SoftwareVersion != j.origin.Version {
@@ -136,34 +163,43 @@
 		switch {
 		case j.triedEndpoints[e.ID]:
 			tried++
+		case j.gateway.processes.last(e) == processOther:
+			other++
 		case j.gateway.config.Chooser.LostConnection(e, now.Add(-RestartPeriod)):
 			lost++
 		}
 	}
 	age, lasted := j.gateway.config.Contact()
 	j.logger().WithFields(log.Fields{
-		"software_version": j.origin.Version, "listed": listed, "tried": tried, "lost_connection": lost,
+		"software_version": j.origin.Version, "listed": listed, "tried": tried, "lost_connection": lost, "other_process": other,
 		"began_uncertain": j.versionUncertain, "contact_age_ms": age.Milliseconds(), "contact_ms": lasted.Milliseconds(),
 	}).Info("gateway: no endpoint certainly runs the version that began the stream")
 }
 
 // candidates returns the endpoints that may get the request: those of the service, or for a stream that has begun, those
-// that certainly run the version that began it.
+// that certainly run the version that began it. If some of them have said so themselves, these are all.
 func (j *job) candidates(now time.Time) []registry.Endpoint {
 	view := j.gateway.config.Endpoints()
 	all := view.Endpoints(j.service, now)
 	if j.origin == nil {
 		return all
 	}
-	if j.versionUncertain || j.firstEndpointRestarted(all) || j.firstEndpointRestarted(view.Evacuated(j.service)) {
+	if j.versionUncertain || j.versionCheck.resultNow() == processOther || j.firstEndpointRestarted(all) || j.firstEndpointRestarted(view.Evacuated(j.service)) {
 		return nil
 	}
 	certain := j.isListedAsRunning()
-	var out []registry.Endpoint
+	var listed, confirmed []registry.Endpoint
 	for _, e := range all {
-		if e.SoftwareVersion == j.origin.Version && certain(e) {
-			out = append(out, e)
+		switch {
+		case e.SoftwareVersion != j.origin.Version:
+		case j.gateway.isConfirmed(e):
+			confirmed = append(confirmed, e)
+		case certain(e):
+			listed = append(listed, e)
 		}
 	}
-	return out
+	if len(confirmed) > 0 {
+		return confirmed
+	}
+	return listed
 }
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"pumiceshelf/origin"
 	"pumiceshelf/placement"
+	"pumiceshelf/platform"
 	"pumiceshelf/registry"
 	"pumiceshelf/routing"
 )
@@ -341,3 +343,89 @@
 		})
 	})
 }
+
+// reportStart returns a handler that says when the process of an endpoint started.
+func reportStart(unixMilli int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"running":1,"born":%d}`, unixMilli)
+	}
+}
+
+// Guards against streams that no instance resumes, or whose origin none records, for seconds after connections were lost, although their
+// endpoints live on and say so (LOST), and against streams that go on at an endpoint that does not (ORDER).
+func TestStreamsGoOnWhereEndpointsConfirmTheirEntries(t *testing.T) {
+	const started = 1_700_000_000_000
+	for _, c := range []struct {
+		name   string
+		report http.HandlerFunc
+		goesOn bool
+	}{
+		{"confirms its entry", reportStart(started), true},
+		{"says that it started later", reportStart(started + 1), false},
+		{"does not say when it started", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"running":1}`) }, false},
+		{"says something else", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"born":"today"}`) }, false},
+		{"is another one than expected", respondWith(http.StatusMisdirectedRequest, ""), false},
+		{"breaks off its report", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = fmt.Fprintf(w, `{"born":%d}`, int64(started))
+		}, false},
+		{"has no report", nil, false},
+		{"does not respond", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, false},
+	} {
+		Convey("Given two versions in service, and an endpoint that "+c.name, t, func() {
+			e := versioned("i-1", "v1", streamEvents(9, 3))
+			e.report, e.started = c.report, started
+			h := newHarness(e)
+			Reset(h.close)
+			h.config.Reports = platform.Reports{}
+			h.restart()
+			resume := map[string]string{"Resumes": "id-1", "Last-Event-Id": "3"}
+			recorded := func() bool {
+				h.origins.mu.Lock()
+				defer h.origins.mu.Unlock()
+				_, ok := h.origins.origins["id-1"]
+				return ok
+			}
+
+			Convey("a stream that it broke off is resumed there only if it confirms", func() {
+				h.changeRoutes(func(r *routing.Route) { r.MaxAttempts = 1 })
+				So(h.send("POST", "/plan/", "b", nil).truncated, ShouldBeTrue)
+				resp := h.send("POST", "/plan/", "b", resume)
+				So(resp.status, ShouldEqual, map[bool]int{true: 200, false: 503}[c.goesOn])
+				if !c.goesOn {
+					So(resp.body, ShouldContainSubstring, "version-unavailable")
+					So(e.requestCount(), ShouldEqual, 1)
+				}
+			})
+			Convey("a stream that began before the instance was in contact for long is recorded only if it confirms", func() {
+				h.contact = time.Second
+				e.handle = streamEvents(3, 0)
+				So(h.send("POST", "/plan/", "b", nil).status, ShouldEqual, 200)
+				time.Sleep(100 * time.Millisecond)
+				So(recorded(), ShouldEqual, c.goesOn)
+			})
+		})
+	}
+	Convey("an endpoint that confirmed its entry is asked again after another connection to it was lost", t, func() {
+		e := versioned("i-1", "v1", streamEvents(9, 3))
+		var asked atomic.Int64
+		confirm := reportStart(started)
+		e.report, e.started = func(w http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			confirm(w, r)
+		}, started
+		h := newHarness(e)
+		Reset(h.close)
+		h.config.Reports = platform.Reports{}
+		h.restart()
+		h.changeRoutes(func(r *routing.Route) { r.MaxAttempts = 1 })
+		So(h.send("POST", "/plan/", "b", nil).truncated, ShouldBeTrue)
+		for range 3 {
+			before := asked.Load()
+			So(h.send("POST", "/plan/", "b", map[string]string{"Resumes": "id-1", "Last-Event-Id": "3"}).truncated, ShouldBeTrue)
+			So(asked.Load(), ShouldBeGreaterThan, before)
+		}
+		confirm = reportStart(started + 1)
+		So(h.send("POST", "/plan/", "b", map[string]string{"Resumes": "id-1", "Last-Event-Id": "3"}).status, ShouldEqual, 503)
+	})
+}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -108,8 +108,22 @@
 	}
 }
 
+// report says which process the endpoint is.
+func (e *endpoint) report(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Expect-Instance") != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	// A caller that has left gets none.
+	_, _ = fmt.Fprintf(w, `{"born":%d}`, e.started.UnixMilli())
+}
+
 // ServeHTTP implements http.Handler.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/report" {
+		e.report(w, r)
+		return
+	}
 	// The proxy registers a connection before it passes on any byte.
 	from, _ := e.proxy.sources.Load(r.RemoteAddr)
 	a := &arrival{at: time.Now(), endpoint: e, instance: from.(*link).instance, request: r.Header.Get("X-Request-Id")}
--- a/placement/losses.go
+++ b/placement/losses.go
@@ -49,6 +49,21 @@
 	return s != nil && s.endpoint.SameProcess(e) && (s.lostConnectionAt.After(after) || s.endedAt.After(after))
 }
 
+// LastLoss returns when this instance last lost a connection to the endpoint, could not connect to it, or learned that it had ended. It is
+// zero if it never did.
+func (c *Chooser) LastLoss(e registry.Endpoint) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.states[e.ID]
+	switch {
+	case s == nil || !s.endpoint.SameProcess(e):
+		return time.Time{}
+	case s.endedAt.After(s.lostConnectionAt):
+		return s.endedAt
+	}
+	return s.lostConnectionAt
+}
+
 // MayHaveRestarted reports whether the endpoint may have started again after the given time: it was found to have ended, or it lost
 // a connection and was not found to live on.
 func (c *Chooser) MayHaveRestarted(e registry.Endpoint, after time.Time) bool {
--- a/router/emulated_endpoint_test.go
+++ b/router/emulated_endpoint_test.go
@@ -76,6 +76,10 @@
 	for _, w := range wrap {
 		e.server.Handler = w(e)
 	}
+	mux := http.NewServeMux()
+	mux.Handle("/", e.server.Handler)
+	mux.HandleFunc("GET /report", e.report)
+	e.server.Handler = mux
 	go func() { _ = e.server.Serve(l) }()
 	return e
 }
@@ -92,6 +96,16 @@
 		e.address, e.domain, e.version, e.slots, state, e.started.UnixMilli(), e.coldLeft.Milliseconds())
 }
 
+// report says which process the endpoint is.
+func (e *emulatedEndpoint) report(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Header.Get("X-Expect-Instance") != e.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case e.pause(r.Context(), 0):
+		_, _ = fmt.Fprintf(w, `{"running":%d,"born":%d}`, 0, e.started.UnixMilli())
+	}
+}
+
 // nameLimit names a limit in all responses from now on. A negative rate withdraws it.
 func (e *emulatedEndpoint) nameLimit(rate float64) {
 	e.mu.Lock()
--- a/router/emulator_test.go
+++ b/router/emulator_test.go
@@ -202,7 +202,7 @@
 	in.process, in.cancel, in.started, in.store = p, cancel, time.Now(), &storeAccess{memoryStore: e.store}
 	in.starts = append(in.starts, in.started)
 	in.router = router.New(router.Config{
-		Settings: settings, Store: in.store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Clock: clockwork.NewRealClock(),
+		Settings: settings, Store: in.store, Decoder: platform.Decoder{}, Headers: platform.Headers{}, Reports: platform.Reports{}, Clock: clockwork.NewRealClock(),
 		Log: e.newLogger(), Metrics: metrics.NewRegistry(), Listen: p.listen, Dial: p.dial, SharesAllLoads: e.sharesAllLoads,
 	})
 	r := in.router
--- a/router/listeners.go
+++ b/router/listeners.go
@@ -212,6 +212,7 @@
 	e.router.chooser.Retain(e.set.Contains, now)
 	e.router.limits.Retain(e.set.Contains)
 	e.router.loads.Retain(e.set.Contains)
+	e.router.gateway.RetainEndpoints(e.set.Contains)
 }
 
 // newDebugLogger returns a logger for net/http that writes at debug level, as most of its messages report connections that
--- a/router/router.go
+++ b/router/router.go
@@ -90,9 +90,11 @@
 	Store    Platform
 	Decoder  Decoder
 	Headers  gateway.HeaderCodec
-	Clock    clockwork.Clock
-	Log      log.Interface
-	Metrics  metrics.Registry
+	// Reports reads what endpoints say of their own process. If nil, they are not asked.
+	Reports gateway.ProcessReports
+	Clock   clockwork.Clock
+	Log     log.Interface
+	Metrics metrics.Registry
 	// SharesAllLoads makes instances share load reports of endpoints also if these have no work time.
 	SharesAllLoads bool
 	// Listen and Dial open the listeners and connections of the instance. If nil, they use TCP.
@@ -212,7 +214,7 @@
 		Rations: r.sharesLoads, StoreEra: r.storeEra,
 	})
 	r.gateway = gateway.New(gateway.Config{
-		Headers: c.Headers, Budgets: r.prepaid, BudgetView: r.prepaid.View, BudgetRationed: r.prepaid.IsRationed, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Loads: r.loads, Quarantine: r.quarantine, Origins: r.members,
+		Headers: c.Headers, Reports: c.Reports, Budgets: r.prepaid, BudgetView: r.prepaid.View, BudgetRationed: r.prepaid.IsRationed, Chooser: r.chooser, RetryBudget: newRetryBudget(c.Settings), Limits: r.limits, Loads: r.loads, Quarantine: r.quarantine, Origins: r.members,
 		SheddingDisabled: c.Settings.SheddingDisabled, MovesCallers: r.linkBusy, Link: r.busyLink,
 		Contact: r.contactState, KnowsOneVersion: r.knowsOneVersion, ConfirmVersions: r.confirmVersions, ConfigurationUnconfirmed: r.configurationUnconfirmed,
 		Table: r.table.Load, Endpoints: r.endpointView.Load, InstanceCount: r.members.Count, Domain: c.Settings.Domain,
