--- a/internal/memorynet/conn.go
+++ b/internal/memorynet/conn.go
@@ -21,7 +21,9 @@
 	changed *sync.Cond
 	// senderClosed and receiverClosed are set once that end is closed.
 	senderClosed, receiverClosed bool
-	sendLimit, receiveLimit      deadline
+	// reset is set if the sender resets the connection when it closes it.
+	reset                   bool
+	sendLimit, receiveLimit deadline
 }
 
 func newDirection() *direction {
@@ -71,6 +73,8 @@
 			n, err := d.buf.Read(p)
 			d.changed.Broadcast()
 			return n, err
+		case d.senderClosed && d.reset:
+			return 0, syscall.ECONNRESET
 		case d.senderClosed:
 			return 0, io.EOF
 		}
@@ -144,6 +148,15 @@
 	return nil
 }
 
+// SetLinger has the signature of net.TCPConn.SetLinger. With zero seconds, closing resets the connection: after what was sent before, the
+// other end reads an error.
+func (c *conn) SetLinger(seconds int) error {
+	c.out.mu.Lock()
+	defer c.out.mu.Unlock()
+	c.out.reset = seconds == 0
+	return nil
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/memorynet/network_test.go
+++ b/internal/memorynet/network_test.go
@@ -50,6 +50,15 @@
 			So(err, ShouldBeNil)
 			So(string(data), ShouldEqual, "ab")
 		}},
+		{"what was sent before a reset arrives, and then an error", func(client, server net.Conn) {
+			_, err := io.WriteString(client, "ab")
+			So(err, ShouldBeNil)
+			So(client.(interface{ SetLinger(int) error }).SetLinger(0), ShouldBeNil)
+			So(client.Close(), ShouldBeNil)
+			data, err := io.ReadAll(server)
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			So(string(data), ShouldEqual, "ab")
+		}},
 		{"sending more than the buffer waits for the reader", func(client, server net.Conn) {
 			go func() {
 				time.Sleep(time.Second)
