Pass on no response of another instance that has no length

Callers whose request was passed on to another instance got a short body or stream that looked whole: a response with neither a length nor chunks ends with its connection, and was passed on in chunks that ended properly. Instances send none, but another process may have got their address.

The cause: relayDelegated took the end of any body for its whole. Such a response now counts as lost, with the outcome unknown, as one that names another request does.

TestDelegatedResponsesCutAnywhere cuts the response of the other instance at every byte of head and trailer. Without the change it fails for the responses without a length on each of the four routes, with a 200 that looks whole when the connection closes; all other responses held.

--- a/gateway/cut_heads_test.go
+++ b/gateway/cut_heads_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/gateway"
 	"pumiceshelf/internal/memorynet"
 	"pumiceshelf/internal/rawhttp"
 )
@@ -269,3 +270,64 @@
 		}
 	}
 }
+
+// Guards against the response of another instance that breaks off anywhere and looks whole to the caller (MIXED, ORDER), and against a request
+// that is sent on once more or called "not run" after it was passed on (TWICE, REFUSED).
+func TestDelegatedResponsesCutAnywhere(t *testing.T) {
+	synctest.Test(t, testDelegatedResponsesCutAnywhere)
+}
+
+func testDelegatedResponsesCutAnywhere(t *testing.T) {
+	for _, f := range rawhttp.Framings() {
+		for path, body := range map[string]string{"/status/": "twelve bytes", "/fetch/": "twelve bytes", "/note/": eventsUpTo(2), "/plan/": eventsUpTo(2)} {
+			r := f.Response(cutFields, body)
+			raw, head := r.Raw, r.Head
+			for ending, reset := range rawhttp.Endings() {
+				Convey(fmt.Sprintf("a response to %s %s that the other instance %s at any byte is whole or breaks off visibly", path, f.Name, ending), t, func() {
+					for _, cut := range r.Cuts() {
+						at := strconv.Quote(raw[:cut])
+						resp, requests := delegateCut(path, raw[:cut], reset)
+						SoMsg(at, requests, ShouldEqual, 1)
+						switch {
+						case cut < head, f.Unframed:
+							// Instances frame all their responses.
+							SoMsg(at, resp.status, ShouldEqual, 502)
+							SoMsg(at, resp.body, ShouldContainSubstring, "unknown")
+						case cut == len(raw):
+							SoMsg(at, resp, ShouldResemble, response{status: 200, header: resp.header, body: body})
+						default:
+							SoMsg(at, resp.truncated, ShouldBeTrue)
+							SoMsg(at, body, ShouldStartWith, resp.body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// delegateCut sends a request to an instance that reaches no endpoint and passes it on to two others, which respond with raw bytes. It returns
+// the response with the number of requests that those got.
+func delegateCut(path, raw string, reset bool) (response, int) {
+	handle := func(w http.ResponseWriter, _ *http.Request) { rawhttp.WriteAndEnd(w, raw, reset) }
+	network := new(memorynet.Network)
+	endpoint := newFakeEndpointIn(network, "i-1", respondWith(200, "unused"))
+	others := []*fakeEndpoint{newFakeEndpointIn(network, "front-1", handle), newFakeEndpointIn(network, "front-2", handle)}
+	h := newHarnessIn(network, endpoint)
+	defer h.close()
+	h.config.Dial, h.config.DialInstance = refuseConnections, network.DialContext
+	h.config.Delegates = func() (delegates []gateway.Delegate) {
+		for _, other := range others {
+			delegates = append(delegates, gateway.Delegate{Domain: "hall-a", Address: other.registration().Address})
+		}
+		return delegates
+	}
+	h.restart()
+	resp := h.send("POST", path, "", nil)
+	requests := 0
+	for _, other := range others {
+		other.server.Close()
+		requests += other.requestCount()
+	}
+	return resp, requests + endpoint.requestCount()
+}
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -283,6 +283,11 @@
 		logger.WithField("other_id", meta.RequestID).Warn("gateway: dropped a response to another request")
 		return true, j.delegationLost()
 	}
+	if j.r.Method != http.MethodHead && !isFramed(resp) {
+		// The end of such a response does not show that it is whole, and instances send none.
+		logger.WithField("status", resp.StatusCode).Warn("gateway: response of the other instance has no length")
+		return true, j.delegationLost()
+	}
 	g.metrics.delegated.Inc(1)
 	j.endpointID = d.Address
 	logger.WithField("status", resp.StatusCode).Info("gateway: request passed on to another instance")
