Read no object of the object API from a response without a length

A value of the object API may be any bytes. In a response with neither a length nor chunks, which ends with its connection, a value that was cut off anywhere was taken for the object. Reads and watches now reject such a response; the API's own servers send a length. Listings were safe, since they are JSON.

--- a/internal/rawhttp/rawhttp.go
+++ b/internal/rawhttp/rawhttp.go
@@ -53,7 +53,10 @@
 		length = ""
 	case f.chunked:
 		length = "Transfer-Encoding: chunked\r\n"
-		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, f.trailer)
+		if body != "" {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		body += "0\r\n" + f.trailer + "\r\n"
 	}
 	lines := fields + f.after + length
 	if f.lengthFirst {
--- a/objectstore/http.go
+++ b/objectstore/http.go
@@ -59,6 +59,8 @@
 	status  int
 	version Version
 	body    []byte
+	// unframed is set if the response has neither a length nor chunks, so that its end does not show that the body is whole.
+	unframed bool
 }
 
 // objectList is the response body of a List call.
@@ -238,13 +240,17 @@
 	if err != nil {
 		return response{}, err
 	}
-	return response{status: resp.StatusCode, version: version, body: value}, nil
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+	return response{status: resp.StatusCode, version: version, body: value, unframed: unframed}, nil
 }
 
 func (r response) object(key string) (Object, error) {
 	if r.version == 0 {
 		return Object{}, fmt.Errorf("%w: object without a version", ErrMalformed)
 	}
+	if r.unframed {
+		return Object{}, fmt.Errorf("%w: response with object %q has neither a length nor chunks", ErrMalformed, key)
+	}
 	return Object{Key: key, Version: r.version, Value: r.body}, nil
 }
 
