--- a/internal/rawhttp/rawhttp.go
+++ b/internal/rawhttp/rawhttp.go
@@ -41,22 +41,21 @@
 type Response struct {
 	Raw string
 	// Head is the length of the head, with the empty line.
-	Head    int
-	framing Framing
+	Head int
+	// begin and end are where the body is, without what belongs to its chunks.
+	begin, end int
 }
 
 // Response returns a response with header lines, each with its end, and a body.
 func (f Framing) Response(fields, body string) Response {
-	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	length, chunk, last := fmt.Sprintf("Content-Length: %d\r\n", len(body)), "", ""
 	switch {
 	case f.Unframed:
 		length = ""
+	case f.chunked && body == "":
+		length, last = "Transfer-Encoding: chunked\r\n", "0\r\n"+f.trailer+"\r\n"
 	case f.chunked:
-		length = "Transfer-Encoding: chunked\r\n"
-		if body != "" {
-			body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
-		}
-		body += "0\r\n" + f.trailer + "\r\n"
+		length, chunk, last = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n", len(body)), "\r\n0\r\n"+f.trailer+"\r\n"
 	}
 	lines := fields + f.after + length
 	if f.lengthFirst {
@@ -66,31 +65,20 @@
 	if f.bareLineFeeds {
 		head = strings.ReplaceAll(head, "\r", "")
 	}
-	return Response{Raw: head + body, Head: len(head), framing: f}
+	begin := len(head) + len(chunk)
+	return Response{Raw: head + chunk + body + last, Head: len(head), begin: begin, end: begin + len(body)}
 }
 
 // Body returns what a client that gets the first bytes of the response has of its body.
-func (r Response) Body(cut int) string {
-	text := r.Raw[r.Head:max(cut, r.Head)]
-	if !r.framing.chunked {
-		return text
-	}
-	_, text, _ = strings.Cut(text, "\r\n")
-	text, _, _ = strings.Cut(text, "\r\n")
-	return text
-}
+func (r Response) Body(cut int) string { return r.Raw[r.begin:max(r.begin, min(cut, r.end))] }
 
 // bodyCutInterval is the distance in bytes between two cuts within a line of a body.
 const bodyCutInterval = 7
 
 // Cuts returns the lengths to cut the response to: all within its head and after its body, some within its body, and its whole length.
 func (r Response) Cuts() (cuts []int) {
-	end := len(r.Raw)
-	if r.framing.chunked {
-		end -= len("\r\n0\r\n\r\n") + len(r.framing.trailer)
-	}
 	for cut := range len(r.Raw) + 1 {
-		if cut > r.Head && cut < end && cut%bodyCutInterval != 0 && r.Raw[cut-1] != '\n' {
+		if cut > r.begin && cut < r.end && cut%bodyCutInterval != 0 && r.Raw[cut-1] != '\n' {
 			continue
 		}
 		cuts = append(cuts, cut)
