Wait for the end of a request in the tests of a draining gateway

A gateway records how long a request took once it has written the response, so the caller of a plain route may send its next request before the duration is known. The draining gateway then treats it as of unknown duration, as documented: a request that may be repeated is accepted, and ended with an unknown outcome when the drain ends.

The record stays where it is: the time that a slow caller takes to read is part of the duration that a drain has to wait for. The test made the wrong assumption and now waits until the gateway has no request in progress; all its checks are as before.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -40,6 +40,13 @@
 		h.gateway.StartDraining(time.Now().Add(drainTime))
 		time.AfterFunc(drainTime, h.gateway.EndRequests)
 	}
+	// learn makes the duration of a request known. The gateway may still be at work on it when its caller has the response.
+	learn := func(h *harness, path string) {
+		So(h.send("POST", path, "b", nil).status, ShouldEqual, 200)
+		for h.gateway.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
 	refused := func(resp response) {
 		So(resp.status, ShouldEqual, 503)
 		So(resp.body, ShouldContainSubstring, "instance-stopping")
@@ -49,8 +56,7 @@
 	for _, path := range []string{"/status/", "/fetch/", "/note/", "/plan/"} {
 		t.Run(path, func(t *testing.T) {
 			play(0, streamEvents(3, 0), func(h *harness) {
-				// Its duration is known from others.
-				So(h.send("POST", path, "b", nil).status, ShouldEqual, 200)
+				learn(h, path)
 				drain(h)
 				So(h.send("POST", path, "b", nil).status, ShouldEqual, 200)
 				h.gateway.StopAccepting()
@@ -59,7 +65,7 @@
 			})
 			play(3500*time.Millisecond, streamEvents(3, 0), func(h *harness) {
 				// One that lasts for longer than the instance still has is not begun.
-				So(h.send("POST", path, "b", nil).status, ShouldEqual, 200)
+				learn(h, path)
 				drain(h)
 				refused(h.send("POST", path, "b", nil))
 				So(h.requestCount(), ShouldEqual, 1)
