--- a/gateway/cut_heads_test.go
+++ b/gateway/cut_heads_test.go
@@ -280,6 +280,9 @@
 func testDelegatedResponsesCutAnywhere(t *testing.T) {
 	for _, f := range rawhttp.Framings() {
 		for path, body := range map[string]string{"/status/": "twelve bytes", "/fetch/": "twelve bytes", "/note/": eventsUpTo(2), "/plan/": eventsUpTo(2)} {
+			if f.HeadOnly && path != "/status/" {
+				continue
+			}
 			r := f.Response(cutFields, body)
 			raw, head := r.Raw, r.Head
 			for ending, reset := range rawhttp.Endings() {
