--- a/gateway/cut_heads_test.go
+++ b/gateway/cut_heads_test.go
@@ -289,7 +289,7 @@
 				Convey(fmt.Sprintf("a response to %s %s that the other instance %s at any byte is whole or breaks off visibly", path, f.Name, ending), t, func() {
 					for _, cut := range r.Cuts() {
 						at := strconv.Quote(raw[:cut])
-						resp, requests := delegateCut(path, raw[:cut], reset)
+						resp, requests := delegateCut("POST", path, raw[:cut], reset)
 						SoMsg(at, requests, ShouldEqual, 1)
 						switch {
 						case cut < head, f.Unframed:
@@ -309,9 +309,29 @@
 	}
 }
 
+// Guards against a delegated response without a body that counts as lost because it has no length.
+func TestDelegatedResponsesWithoutABody(t *testing.T) {
+	synctest.Test(t, testDelegatedResponsesWithoutABody)
+}
+
+func testDelegatedResponsesWithoutABody(t *testing.T) {
+	Convey("a response without a body of another instance passes, with a length or without", t, func() {
+		for _, c := range []struct {
+			method, status string
+			want           int
+		}{{"HEAD", "200 OK", 200}, {"POST", "204 No Content", 204}, {"GET", "304 Not Modified", 304}} {
+			for _, framing := range []string{"", "Connection: close\r\n"} {
+				resp, requests := delegateCut(c.method, "/status/", "HTTP/1.1 "+c.status+"\r\n"+cutFields+framing+"\r\n", false)
+				SoMsg(c.status, resp, ShouldResemble, response{status: c.want, header: resp.header})
+				SoMsg(c.status, requests, ShouldEqual, 1)
+			}
+		}
+	})
+}
+
 // delegateCut sends a request to an instance that reaches no endpoint and passes it on to two others, which respond with raw bytes. It returns
 // the response with the number of requests that those got.
-func delegateCut(path, raw string, reset bool) (response, int) {
+func delegateCut(method, path, raw string, reset bool) (response, int) {
 	handle := func(w http.ResponseWriter, _ *http.Request) { rawhttp.WriteAndEnd(w, raw, reset) }
 	network := new(memorynet.Network)
 	endpoint := newFakeEndpointIn(network, "i-1", respondWith(200, "unused"))
@@ -326,7 +346,7 @@
 		return delegates
 	}
 	h.restart()
-	resp := h.send("POST", path, "", nil)
+	resp := h.send(method, path, "", nil)
 	requests := 0
 	for _, other := range others {
 		other.server.Close()
