Let a confirmation outlast its connection for a moment, and ask again after an error

Change: only 404, 405 and 501 mean that an endpoint has no report; a confirmation counts for 50 ms without its connection, less than a process takes to start; origins are recorded once; a suspension drops all answers; one limit of 300 ms holds for a request; resumptions keep the objective in the choice of an engine and are only not refused. Unrecorded streams are no longer refused because of an endpoint that lost a connection and has confirmed its entry since.

Measured: the new cases of TestStreamsGoOnWhereEndpointsConfirmTheirEntries fail before.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -183,12 +183,15 @@
 	origins  map[string]origin.Origin
 	versions []string
 	complete bool
+	// records counts the calls of RecordOrigin.
+	records int
 }
 
 func (o *fakeOrigins) RecordOrigin(began origin.Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.origins[began.Attempt] = began
+	o.records++
 }
 
 func (o *fakeOrigins) SearchOrigin(_ context.Context, attempt, _ string) origin.Search {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -395,10 +395,12 @@
 	if j.engine() != nil {
 		r.PromptParts, r.PromptTokens, r.Priority = j.meta.PromptParts, j.meta.PromptTokens, enginePriority(j.customer, j.route)
 		r.MaxEventGap = j.route.GapObjective
-		if !j.headerSent && j.origin == nil {
-			// A stream that has begun is not refused for load: its caller would lose what it has of it.
+		if !j.headerSent {
+			// A stream that began cannot come back later.
 			r.MaxTimeToFirstToken = maxFirstEventWait(j.route)
 		}
+		// The caller of a stream that began elsewhere would lose what it has of it.
+		r.NeverOverloaded = j.origin != nil
 	}
 	return r
 }
--- a/gateway/lasting.go
+++ b/gateway/lasting.go
@@ -127,4 +127,7 @@
 }
 
 // ForgetProcesses records that this instance was suspended: what its connections led to is not certain any more.
-func (g *Gateway) ForgetProcesses() { g.lasting.forget() }
+func (g *Gateway) ForgetProcesses() {
+	g.processes.forget()
+	g.lasting.forget()
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pumiceshelf/registry"
@@ -25,8 +26,10 @@
 	// processCheckPause is how long an endpoint that did not confirm its entry is not asked again. A new entry is written within a few
 	// seconds.
 	processCheckPause = 500 * time.Millisecond
-	// unsupportedPause is the same for an endpoint that responds, but not with such a report: until it is replaced by another release.
+	// unsupportedPause is the same for an endpoint that has no such report: until it is replaced by another release.
 	unsupportedPause = 30 * time.Second
+	// confirmationTime is how long a confirmation counts without the connection on which it came. A process takes longer to start.
+	confirmationTime = crashCheckDelay
 	// maxProcessChecks bounds the endpoints that are asked for one request.
 	maxProcessChecks = 8
 	// otherProcessTime is how long a request waits for further endpoints if it has one already: several round trips between failure
@@ -43,12 +46,18 @@
 	StartedUnixMilli(report []byte) (int64, error)
 }
 
-// errNoProcessReport is returned for an endpoint that responds, but does not say which process it is.
-var errNoProcessReport = errors.New("gateway: endpoint does not report its process")
+var (
+	// errNoProcessReport is returned for an endpoint that has no report of its process.
+	errNoProcessReport = errors.New("gateway: endpoint does not report its process")
+	// errSuspended is returned for a report that may have waited while this instance was suspended.
+	errSuspended = errors.New("gateway: instance was suspended")
+)
 
 // processChecks asks endpoints which process they are. It is safe for concurrent use.
 type processChecks struct {
 	gateway *Gateway
+	// suspensions counts how often this instance was suspended.
+	suspensions atomic.Int64
 
 	mu sync.Mutex
 	// byID holds the last check of each endpoint by its ID.
@@ -72,9 +81,9 @@
 type processCheck struct {
 	endpoint registry.Endpoint
 	done     chan struct{}
-	// result, and until when the endpoint is not asked again if it did not confirm its entry, are set before done is closed.
-	result      processResult
-	pausedUntil time.Time
+	// askedAt, the result, and until when the endpoint is not asked again are set before done is closed.
+	askedAt, pausedUntil time.Time
+	result               processResult
 }
 
 // resultNow returns the result as far as there is one. That of nil is processUnknown.
@@ -100,10 +109,28 @@
 	return processUnknown
 }
 
-// isConfirmed reports whether an endpoint has said itself that it is the process of its entry, and has lived since a connection to it was
+// IsConfirmed reports whether an endpoint has said itself that it is the process of its entry, and has lived since a connection to it was
 // last lost.
-func (g *Gateway) isConfirmed(e registry.Endpoint) bool {
-	return g.lasting.confirmed(e, g.config.Chooser.LastLoss(e))
+func (g *Gateway) IsConfirmed(e registry.Endpoint) bool {
+	lostAt := g.config.Chooser.LastLoss(e)
+	return g.lasting.confirmed(e, lostAt) || g.processes.confirmedAfter(e, lostAt)
+}
+
+// confirmedAfter reports whether an endpoint was asked after a time, and has confirmed its entry just now.
+func (p *processChecks) confirmedAfter(e registry.Endpoint, lostAt time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.byID[e.ID]
+	return c != nil && c.endpoint.SameProcess(e) && c.resultNow() == processConfirmed && c.askedAt.After(lostAt) &&
+		p.gateway.config.Clock.Now().Before(c.pausedUntil)
+}
+
+// forget makes the answers uncertain that may have waited while this instance was suspended.
+func (p *processChecks) forget() {
+	p.suspensions.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.byID)
 }
 
 // begin asks an endpoint whether it is the listed process, unless it is being asked, or did not confirm it just now. It returns nil if
@@ -116,14 +143,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.byID[e.ID]; c != nil && c.endpoint.SameProcess(e) {
-		switch c.resultNow() {
+		switch lost := config.Chooser.LastLoss(e); c.resultNow() {
 		case processAsked:
 			return c
+		case processConfirmed:
+			if c.askedAt.After(lost) && config.Clock.Now().Before(c.pausedUntil) {
+				return c
+			}
 		case processUnknown, processOther:
 			if config.Clock.Now().Before(c.pausedUntil) {
 				return c
 			}
-		case processConfirmed:
 		}
 	}
 	c := &processCheck{endpoint: e, done: make(chan struct{})}
@@ -136,9 +166,13 @@
 func (p *processChecks) run(c *processCheck) {
 	defer close(c.done)
 	g := p.gateway
-	result, err := g.askProcess(c.endpoint)
+	c.askedAt = g.config.Clock.Now()
+	result, err := g.askProcess(c.endpoint, c.askedAt)
 	pause := processCheckPause
-	if errors.Is(err, errNoProcessReport) {
+	switch {
+	case result == processConfirmed:
+		pause = confirmationTime
+	case errors.Is(err, errNoProcessReport):
 		pause = unsupportedPause
 	}
 	c.result, c.pausedUntil = result, g.config.Clock.Now().Add(pause)
@@ -169,7 +203,8 @@
 
 // askProcess asks an endpoint which process it is, and records a process that is the listed one as certain for as long as the connection
 // of its report lasts. Without a confirmation, the error says why.
-func (g *Gateway) askProcess(e registry.Endpoint) (processResult, error) {
+func (g *Gateway) askProcess(e registry.Endpoint, sentAt time.Time) (processResult, error) {
+	suspensions := g.processes.suspensions.Load()
 	ctx, cancel := context.WithTimeout(g.stopping, maxProcessCheckTime)
 	defer cancel()
 	var conn attemptConn
@@ -179,7 +214,6 @@
 		Header: g.config.Headers.ForwardHeader(http.Header{}, ForwardMeta{Timeout: maxProcessCheckTime, EndpointID: e.ID, Priority: -1}),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	sentAt := g.config.Clock.Now()
 	resp, err := g.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return processUnknown, fmt.Errorf("gateway: report of endpoint %q: %w", e.ID, err)
@@ -189,8 +223,10 @@
 	case http.StatusOK:
 	case http.StatusMisdirectedRequest:
 		return processOther, fmt.Errorf("gateway: the address %s of endpoint %q belongs to another one", e.Address, e.ID)
-	default:
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusNotImplemented:
 		return processUnknown, fmt.Errorf("%w: report of endpoint %q has status %d, want %d", errNoProcessReport, e.ID, resp.StatusCode, http.StatusOK)
+	default:
+		return processUnknown, fmt.Errorf("gateway: report of endpoint %q has status %d, want %d", e.ID, resp.StatusCode, http.StatusOK)
 	}
 	report, err := io.ReadAll(io.LimitReader(resp.Body, maxProcessReportBytes))
 	if err != nil {
@@ -199,12 +235,15 @@
 	started, err := g.config.Reports.StartedUnixMilli(report)
 	switch {
 	case err != nil:
-		return processUnknown, fmt.Errorf("%w: report of endpoint %q: %w", errNoProcessReport, e.ID, err)
+		return processUnknown, fmt.Errorf("gateway: report of endpoint %q: %w", e.ID, err)
 	case started == 0 && e.StartedUnixMilli != 0:
 		return processUnknown, fmt.Errorf("%w: report of endpoint %q has no start time", errNoProcessReport, e.ID)
 	case started != e.StartedUnixMilli:
 		return processOther, fmt.Errorf("gateway: endpoint %q started at Unix millisecond %d, its entry says %d", e.ID, started, e.StartedUnixMilli)
 	}
+	if g.processes.suspensions.Load() != suspensions {
+		return processUnknown, fmt.Errorf("gateway: report of endpoint %q: %w", e.ID, errSuspended)
+	}
 	if c, ok := conn.get().(*watchedConn); ok {
 		g.lasting.confirm(c, e, sentAt)
 	}
@@ -217,12 +256,14 @@
 	if j.origin == nil || j.gateway.config.Reports == nil {
 		return
 	}
+	begun := j.gateway.config.Clock.Now()
 	if c := j.versionCheck; c != nil && j.awaitProcess(c.done, nil, maxProcessCheckTime) && c.result == processConfirmed {
 		j.versionUncertain = false
 	}
 	for range 2 {
 		// A connection whose loss is noticed after the endpoint was asked makes it uncertain again.
-		if j.askCandidates(now) {
+		left := maxProcessCheckTime - j.gateway.config.Clock.Since(begun)
+		if left <= 0 || j.askCandidates(now, left) {
 			return
 		}
 	}
@@ -230,21 +271,21 @@
 
 // askCandidates asks endpoints that may run the version of the stream which process they are. It returns false if one has confirmed its
 // entry and is uncertain again.
-func (j *job) askCandidates(now time.Time) bool {
-	limit := maxProcessCheckTime
+func (j *job) askCandidates(now time.Time, limit time.Duration) bool {
+	found := false
 	var others []registry.Endpoint
 	for _, e := range j.gateway.config.Endpoints().Endpoints(j.service, now) {
 		switch {
 		case e.SoftwareVersion != j.origin.Version, j.triedEndpoints[e.ID]:
-		case j.gateway.isConfirmed(e):
-			limit = otherProcessTime
+		case j.gateway.IsConfirmed(e):
+			found, limit = true, min(limit, otherProcessTime)
 		default:
 			others = append(others, e)
 		}
 	}
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
 	others = others[:min(len(others), maxProcessChecks)]
-	return !j.awaitFirst(others, limit) || limit == otherProcessTime || slices.ContainsFunc(others, j.gateway.isConfirmed)
+	return !j.awaitFirst(others, limit) || found || slices.ContainsFunc(others, j.gateway.IsConfirmed)
 }
 
 // awaitFirst asks endpoints and waits until one has confirmed its entry, and as long again for others, so that not all streams go on at
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -84,7 +84,7 @@
 		return
 	}
 	began := j.firstEndpoint.ID != ""
-	if began && j.versionCheck == nil && !j.gateway.isConfirmed(j.firstEndpoint) {
+	if began && j.versionCheck == nil && !j.gateway.IsConfirmed(j.firstEndpoint) {
 		if j.versionCheck = j.gateway.processes.begin(j.firstEndpoint); j.versionCheck != nil {
 			go j.recordAfterCheck(j.versionCheck, *j.origin, !j.versionUncertain)
 			return
@@ -92,7 +92,8 @@
 	}
 	switch j.versionCheck.resultNow() {
 	case processConfirmed:
-		j.gateway.config.Origins.RecordOrigin(*j.origin)
+		// It is recorded with the answer.
+		j.versionUncertain = false
 	case processUnknown:
 		if !j.versionUncertain {
 			j.gateway.config.Origins.RecordOrigin(*j.origin)
@@ -139,7 +140,7 @@
 	inContact := age <= registry.MaxContactGap && lasted >= RestartPeriod
 	return func(e registry.Endpoint) bool {
 		switch {
-		case g.isConfirmed(e):
+		case g.IsConfirmed(e):
 			return true
 		case lost(e, lostAfter), g.processes.last(e) == processOther:
 			return false
@@ -192,7 +193,7 @@
 	for _, e := range all {
 		switch {
 		case e.SoftwareVersion != j.origin.Version:
-		case j.gateway.isConfirmed(e):
+		case j.gateway.IsConfirmed(e):
 			confirmed = append(confirmed, e)
 		case certain(e):
 			listed = append(listed, e)
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -361,6 +361,10 @@
 		goesOn bool
 	}{
 		{"confirms its entry", reportStart(started), true},
+		{"confirms its entry on a connection that it closes", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Connection", "close")
+			reportStart(started)(w, r)
+		}, true},
 		{"says that it started later", reportStart(started + 1), false},
 		{"does not say when it started", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"running":1}`) }, false},
 		{"says something else", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"born":"today"}`) }, false},
@@ -391,8 +395,12 @@
 				h.changeRoutes(func(r *routing.Route) { r.MaxAttempts = 1 })
 				So(h.send("POST", "/plan/", "b", nil).truncated, ShouldBeTrue)
 				resp := h.send("POST", "/plan/", "b", resume)
-				So(resp.status, ShouldEqual, map[bool]int{true: 200, false: 503}[c.goesOn])
-				if !c.goesOn {
+				if c.goesOn {
+					// It breaks off each stream.
+					So(resp.truncated, ShouldBeTrue)
+					So(e.requestCount(), ShouldEqual, 2)
+				} else {
+					So(resp.status, ShouldEqual, 503)
 					So(resp.body, ShouldContainSubstring, "version-unavailable")
 					So(e.requestCount(), ShouldEqual, 1)
 				}
@@ -403,9 +411,29 @@
 				So(h.send("POST", "/plan/", "b", nil).status, ShouldEqual, 200)
 				time.Sleep(100 * time.Millisecond)
 				So(recorded(), ShouldEqual, c.goesOn)
+				So(h.origins.records, ShouldBeLessThanOrEqualTo, 1)
 			})
 		})
 	}
+	Convey("an endpoint that refuses a report once is asked again", t, func() {
+		e := versioned("i-1", "v1", streamEvents(9, 3))
+		var asked atomic.Int64
+		e.report, e.started = func(w http.ResponseWriter, r *http.Request) {
+			if asked.Add(1) == 1 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			reportStart(started)(w, r)
+		}, started
+		h := newHarness(e)
+		Reset(h.close)
+		h.config.Reports = platform.Reports{}
+		h.restart()
+		h.changeRoutes(func(r *routing.Route) { r.MaxAttempts = 1 })
+		So(h.send("POST", "/plan/", "b", nil).truncated, ShouldBeTrue)
+		time.Sleep(600 * time.Millisecond)
+		So(h.send("POST", "/plan/", "b", map[string]string{"Resumes": "id-1", "Last-Event-Id": "3"}).truncated, ShouldBeTrue)
+	})
 	Convey("an endpoint that confirmed its entry is asked again after another connection to it was lost", t, func() {
 		e := versioned("i-1", "v1", streamEvents(9, 3))
 		var asked atomic.Int64
--- a/gateway/resumption_load_internal_test.go
+++ b/gateway/resumption_load_internal_test.go
@@ -19,10 +19,11 @@
 		}
 		Convey("a new stream may be refused if no engine begins it in time", func() {
 			So(j.placementRequest().MaxTimeToFirstToken, ShouldEqual, time.Second)
+			So(j.placementRequest().NeverOverloaded, ShouldBeFalse)
 		})
 		Convey("one that its caller resumes may not", func() {
 			j.origin = &origin.Origin{Service: "model", Version: "v1"}
-			So(j.placementRequest().MaxTimeToFirstToken, ShouldEqual, 0)
+			So(j.placementRequest().NeverOverloaded, ShouldBeTrue)
 		})
 	})
 }
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -45,7 +45,7 @@
 	if r.MaxTimeToFirstToken == 0 || wait <= maxWait(r.MaxTimeToFirstToken, ownPrefill) {
 		return preferred, wait, true
 	}
-	if overloaded(usable, r, now) {
+	if overloaded(usable, r, now) && !r.NeverOverloaded {
 		return preferred, wait, false
 	}
 	// Repeating the prefill of the shared parts costs little while backlogs are short.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,8 @@
 	// MaxTimeToFirstToken is the longest expected time to the first token for which the request is still sent; zero
 	// means no limit.
 	MaxTimeToFirstToken time.Duration
+	// NeverOverloaded is set if the request is sent however long the engines are expected to take.
+	NeverOverloaded bool
 	// MaxEventGap is the objective for the pauses between the events of the request's stream; zero if there is none.
 	MaxEventGap time.Duration
 	// Domain is the failure domain of this instance. Among endpoints of equal load, those in it are preferred.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -58,6 +58,16 @@
 				So(n, ShouldBeLessThanOrEqualTo, 30)
 			}
 		})
+		Convey("overloaded engines are chosen for streams that began elsewhere only", func() {
+			for range 60 {
+				c.Pick(all[:1], sessionRequest("s1"), nil, now)
+			}
+			r := sessionRequest("other")
+			r.MaxTimeToFirstToken = 2 * time.Second
+			So(c.Pick(all[:1], r, nil, now).Outcome, ShouldEqual, placement.Overloaded)
+			r.NeverOverloaded = true
+			So(c.Pick(all[:1], r, nil, now).Outcome, ShouldEqual, placement.Chosen)
+		})
 		Convey("endpoints already tried are not chosen again", func() {
 			first := pick(sessionRequest("s1"), now)
 			tried := map[string]bool{first.Endpoint.ID: true}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -251,5 +251,5 @@
 	for i, e := range engines {
 		states[i] = e.state
 	}
-	return s, wait, !overloaded(states, r, now)
+	return s, wait, r.NeverOverloaded || !overloaded(states, r, now)
 }
--- a/router/contact.go
+++ b/router/contact.go
@@ -29,7 +29,7 @@
 	view, after := r.endpointView.Load(), now.Add(-gateway.RestartPeriod-min(age, registry.VersionWindow))
 	for _, list := range [][]registry.Endpoint{view.Endpoints(service, now), view.Evacuated(service)} {
 		for _, e := range list {
-			if r.chooser.MayHaveRestarted(e, after) {
+			if r.chooser.MayHaveRestarted(e, after) && !r.gateway.IsConfirmed(e) {
 				return append(versions, registry.UnknownVersion), complete
 			}
 		}
