Bound the connections of each listener, and close those that are least likely to be of use

Callers saw: no answer, or a connection that is never accepted, while a crowd of clients held connections without a request. A process had as many connections as its descriptors; the limit of the process was reached, and accepting failed for all.

Cause: nothing bounds connections. A listener accepts as long as it gets descriptors, and idle ones and those with half a head keep theirs until a timeout, on the listeners of peers for ever.

Change: package intake. Each listener of `route` and `run` may have a share of the descriptors (setting maxDescriptors, else the limit of the process) and of the memory. At the bound the connection that is least likely to become a response is closed: one without a whole head for 1 s, the longest idle one, one whose body has stalled; if all are in use, the new one. A request that arrives on a connection as it is closed does not run. What a handler left of a body is read for 1 s at most; the servers for readiness and operators have an idle timeout.

--- a/admin/metrics_page_test.go
+++ b/admin/metrics_page_test.go
@@ -23,6 +23,7 @@
 	_ "pumiceshelf/endpoint"
 	_ "pumiceshelf/gateway"
 	_ "pumiceshelf/idempotency"
+	_ "pumiceshelf/intake"
 	_ "pumiceshelf/logsink"
 	_ "pumiceshelf/members"
 	_ "pumiceshelf/objectstore"
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
 	"pumiceshelf/instance"
+	"pumiceshelf/intake"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/orders"
 	"pumiceshelf/peer"
@@ -33,6 +34,8 @@
 	traceLimit = 4096
 	// adminReadHeaderTimeout bounds reading the headers of an admin HTTP request.
 	adminReadHeaderTimeout = 5 * time.Second
+	// adminIdleTimeout bounds how long an admin connection stays open between two requests, as one of a caller does.
+	adminIdleTimeout = 2 * time.Minute
 )
 
 // ErrRetired is returned by Run after a bundle retired this incarnation while it was still running. The instance has
@@ -115,9 +118,24 @@
 		}
 		*b.listener = l
 	}
+	bounds, err := intake.NewBounds(0, 0)
+	if err != nil {
+		n.listeners.close()
+		return fmt.Errorf("node: %w", err)
+	}
+	n.listeners.caller = n.bound(n.listeners.caller, "callers", bounds.Callers, true)
+	n.listeners.peer = n.bound(n.listeners.peer, "peers", bounds.Peers, false)
+	n.listeners.admin = n.bound(n.listeners.admin, "admin", bounds.Operators, true)
 	return nil
 }
 
+// bound bounds the connections of a listener. tracked is set if an HTTP server tells what they do.
+func (n *Node) bound(l net.Listener, name string, maxConnections int, tracked bool) net.Listener {
+	return intake.NewListener(l, intake.ListenerConfig{
+		Name: name, MaxConnections: maxConnections, Tracked: tracked, Now: n.config.Clock.Now, Log: n.config.Log, Metrics: n.config.Metrics,
+	})
+}
+
 func (l listeners) close() {
 	for _, x := range []net.Listener{l.caller, l.peer, l.admin} {
 		if x != nil {
@@ -225,8 +243,8 @@
 }
 
 func (n *Node) serveAdmin(ctx context.Context) error {
-	s := &http.Server{Handler: n.components.admin.Handler(), ReadHeaderTimeout: adminReadHeaderTimeout}
-	return serveHTTP(ctx, s, n.listeners.admin)
+	s := &http.Server{Handler: n.components.admin.Handler(), ReadHeaderTimeout: adminReadHeaderTimeout, IdleTimeout: adminIdleTimeout}
+	return serveHTTP(ctx, intake.Protect(s), n.listeners.admin)
 }
 
 // serveHTTP serves until ctx ends, then closes all connections.
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"pumiceshelf/follow"
 	"pumiceshelf/gateway"
 	"pumiceshelf/instance"
+	"pumiceshelf/intake"
 	"pumiceshelf/linkload"
 	"pumiceshelf/members"
 	"pumiceshelf/objectstore"
@@ -219,11 +220,13 @@
 		Self: c.Settings.Name, MaxBufferedBytes: int64(c.Settings.MemoryMb) << 20 / bufferedMemoryShare, Delegates: r.delegates, ReachedByOthers: r.members.ReachedByOthers, DialInstance: dials.instance,
 		AwaitFreshState: r.freezeGuard.Wait, AwaitEvidence: r.members.AwaitEvidence, Dial: dials.endpoint, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics, Uniform: rand.Float64,
 	})
-	r.callerServer = &http.Server{
+	r.callerServer = intake.Protect(&http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: newDebugLogger(c.Log),
-	}
-	r.readyServer = &http.Server{Handler: r.readyHandler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: newDebugLogger(c.Log)}
+	})
+	r.readyServer = intake.Protect(&http.Server{
+		Handler: r.readyHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: newDebugLogger(c.Log),
+	})
 	return r
 }
 
@@ -359,19 +362,27 @@
 
 func (r *Router) listen() (netListeners, error) {
 	var l netListeners
+	bounds, err := intake.NewBounds(int(r.config.Settings.MaxDescriptors), int64(r.config.Settings.MemoryMb*(1<<20)))
+	if err != nil {
+		return l, fmt.Errorf("router: %w", err)
+	}
 	for _, target := range []struct {
-		listener *net.Listener
-		address  string
+		listener       *net.Listener
+		address, name  string
+		maxConnections int
+		tracked        bool
 	}{
-		{&l.caller, r.config.Settings.CallerAddress},
-		{&l.ready, r.config.Settings.ReadyAddress},
-		{&l.peer, r.config.Settings.PeerAddress},
+		{&l.caller, r.config.Settings.CallerAddress, "callers", bounds.Callers, true},
+		{&l.ready, r.config.Settings.ReadyAddress, "ready", bounds.Operators, true},
+		{&l.peer, r.config.Settings.PeerAddress, "peers", bounds.Peers, false},
 	} {
 		listener, err := r.config.Listen(context.Background(), "tcp", target.address)
 		if err != nil {
 			return l, fmt.Errorf("router: listen on %s: %w", target.address, err)
 		}
-		*target.listener = measureListener(r.link, listener)
+		*target.listener = intake.NewListener(measureListener(r.link, listener), intake.ListenerConfig{
+			Name: target.name, MaxConnections: target.maxConnections, Tracked: target.tracked, Now: r.config.Clock.Now, Log: r.config.Log, Metrics: r.config.Metrics,
+		})
 	}
 	return l, nil
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -378,7 +378,7 @@
 			"node_name|json": `"a"`, "zone|json": `"b"`, "listen.front|json": `"127.0.0.1:1"`, "listen.ready|json": `"127.0.0.1:2"`, "listen.control|json": `"127.0.0.1:3"`,
 			"platform.address|json": `"127.0.0.1:4"`, "bounds.grace_s": "8", "bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "20",
 			"bounds.retry_window_s": "10", "limits.memory_mb": "256", "bounds.evacuate_ms": "5000", "bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
-			"limits.link_mbps": "10.0",
+			"limits.link_mbps": "10.0", "limits.max_fds": "4200",
 		} {
 			with = strings.ReplaceAll(with, "{{"+name+"}}", value)
 		}
@@ -387,6 +387,7 @@
 		So([]float64{s.EvacuationTimeoutMs, s.ColdOverage, s.ColdSlack}, ShouldResemble, []float64{5000, 1.5, 5})
 		So(s.DeploymentFeatures, ShouldResemble, []string{"base", "pressure"})
 		So(s.LinkMbps, ShouldEqual, 10)
+		So(s.MaxDescriptors, ShouldEqual, 4200)
 	})
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
+	"pumiceshelf/intake"
 	"pumiceshelf/invariant"
 	"pumiceshelf/quota"
 	"pumiceshelf/trace"
@@ -93,13 +94,13 @@
 // HTTPServer returns an HTTP server for the handler, with limits for header size, read time and idle time.
 func (s *Server) HTTPServer() *http.Server {
 	read := s.cfg.Settings.ReadTimeout.AsDuration()
-	return &http.Server{
+	return intake.Protect(&http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: read,
 		ReadTimeout:       read,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	})
 }
 
 // InProgress returns the number of requests in progress.
