Count the bodies of requests as they arrive, and let those that have stalled give way

Callers saw: 503 for as long as a crowd of clients held bodies that stop short of their end; `run` took 388.5 MB of 100 for 300 bodies in large chunks.

Cause: one budget for all bodies, which a body holds until its request's time limit, whether it arrives or not. `run` counted an announced body before it arrived and a chunked one only when it was whole in memory. A refused body was read to its end without a bound, while it held its share of the budget; an announced body over the limit was read up to the limit.

Change: both programs read bodies through intake.Budget, in chunks of at most 64 KiB that are counted before they are allocated. When the budget is full, the body that has got no byte for longest gives way if that is 250 ms or more, else the one of which least has arrived, if that is less than of the one that asks; it gets 503 with Retry-After, and its memory is free before the other one gets it. Complete bodies never give way. The rest of a refused body is read for 1 s at most; a body over the limit is refused at its head if it is announced. A body without a byte for 30 s is refused.

--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -21,8 +21,7 @@
 // errBufferFull is returned for a response that is cut off because all together hold too much memory.
 var errBufferFull = errors.New("gateway: bodies hold too much memory")
 
-// byteBudget bounds the memory of the bodies of requests, or of responses that are held until they are complete. It is safe for concurrent
-// use.
+// byteBudget bounds the memory of responses that are held until they are complete. It is safe for concurrent use.
 type byteBudget struct {
 	max  int64
 	used atomic.Int64
@@ -53,9 +52,6 @@
 	return true
 }
 
-// hasRoom reports whether a body of a known size fits, without reserving it. A negative size is not known.
-func (b *byteBudget) hasRoom(size int64) bool { return b.used.Load()+max(size, 0) <= b.max }
-
 // abortSlowest ends the response that a caller has been reading for longest, if that is for longer than minWriteTime.
 func (b *byteBudget) abortSlowest() bool {
 	b.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"pumiceshelf/endpointlimit"
 	"pumiceshelf/endpointload"
+	"pumiceshelf/intake"
 	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
@@ -118,9 +119,10 @@
 	reach                                         *reach.Tracker
 	delegates                                     delegates
 	// buffered bounds the responses that are held, bodies the bodies of requests. Requests in progress always have room for responses.
-	buffered, bodies byteBudget
-	loadReports      *loadReports
-	inflight         atomic.Int64
+	buffered    byteBudget
+	bodies      *intake.Budget
+	loadReports *loadReports
+	inflight    atomic.Int64
 	// drain is nil until the instance is about to stop.
 	drain     atomic.Pointer[drain]
 	durations durations
@@ -154,7 +156,7 @@
 	// The other instance may close a kept connection just as a request is sent, and then it is not known whether it ran.
 	g.delegateTransport.DisableKeepAlives = true
 	g.buffered.max, g.buffered.now = c.MaxBufferedBytes, c.Clock.Now
-	g.bodies.max, g.bodies.now = c.MaxBufferedBytes, c.Clock.Now
+	g.bodies = intake.NewBudget(c.MaxBufferedBytes, c.Clock.Now, c.Metrics)
 	g.reach = reach.New(g.logReach)
 	g.crashes = &crashDetector{gateway: g}
 	g.loadReports = newLoadReports(c.Metrics)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"pumiceshelf/intake"
 	"pumiceshelf/origin"
 	"pumiceshelf/placement"
 	"pumiceshelf/prepaid"
@@ -101,8 +101,8 @@
 
 	// bufferedBytes is what the responses of endpoints hold of the gateway's budget.
 	bufferedBytes int64
-	// bodyBytes is what the body of the request holds of the budget for these.
-	bodyBytes int64
+	// upload is the body of the request, which holds memory. It is nil without a body.
+	upload *intake.Upload
 	// attemptBegun is set once the endpoint of the present attempt began to answer.
 	attemptBegun bool
 	// crashChecks holds a channel for each endpoint that lost the request, closed once it is known whether it has ended.
@@ -221,43 +221,23 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	control := http.NewResponseController(j.w)
-	if err := control.SetReadDeadline(j.deadline); err != nil {
-		j.gateway.config.Log.WithField("request_id", j.meta.ID).WithError(err).Debug("gateway: cannot set the read deadline")
-	}
-	in := http.MaxBytesReader(j.w, j.r.Body, limit)
-	if j.r.ContentLength <= limit && !j.gateway.bodies.hasRoom(j.r.ContentLength) {
-		return j.refuseBody(in)
-	}
-	body, taken, err := j.gateway.bodies.readAll(in, int(limit))
-	j.bodyBytes = taken
-	var tooLarge *http.MaxBytesError
+	body, upload, err := j.gateway.bodies.ReadBody(j.w, j.r, limit, j.deadline)
+	j.upload = upload
 	switch {
-	case errors.Is(err, errBufferFull):
-		return j.refuseBody(in)
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrFull) || errors.Is(err, intake.ErrYielded):
+		j.logger().WithError(err).Debug("gateway: no memory for the body")
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonMemoryFull, retryAfter: retryAfterTransient}
+	case errors.Is(err, intake.ErrTooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
 	case err != nil && j.r.Context().Err() != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: reasonCallerCanceled}
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyTruncated}
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		j.gateway.config.Log.WithField("request_id", j.meta.ID).WithError(err).Debug("gateway: cannot clear the read deadline")
-	}
 	j.body, j.content = body, contentID(j.r, j.customerName(), body)
 	return nil
 }
 
-// refuseBody refuses a request for whose body there is no memory. It reads the rest first: the refusal would be lost if the connection
-// ended with unread bytes.
-func (j *job) refuseBody(rest io.Reader) *refusal {
-	if _, err := io.Copy(io.Discard, rest); err != nil {
-		j.logger().WithError(err).Debug("gateway: rest of a refused body is not read")
-	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reasonMemoryFull, retryAfter: retryAfterNoCapacity}
-}
-
 // neededTokens returns the number of tokens that the request reserves, zero if it has no prepaid budget or no prompt.
 func (j *job) neededTokens() int64 {
 	if j.customer == nil || j.customer.PrepaidTokens == nil {
@@ -345,7 +325,7 @@
 	}
 	g := j.gateway
 	g.buffered.release(j.bufferedBytes)
-	g.bodies.release(j.bodyBytes)
+	j.upload.Release()
 	charged := int64(0)
 	if j.reservation != nil {
 		charged = j.chargedTokens()
--- a/server/execute.go
+++ b/server/execute.go
@@ -57,7 +57,7 @@
 func (j *job) admit(ctx context.Context) admit.Ticket {
 	item := admit.Item{
 		RequestID: j.id, Customer: j.customer.ID, Weight: j.customer.Weight, Group: j.endpointGroup(), Class: j.headers.class,
-		Deadline: j.deadline, Bytes: int(j.heldBodyBytes), Cost: 1,
+		Deadline: j.deadline, Bytes: int(j.upload.Held()), Cost: 1,
 	}
 	if j.chat != nil {
 		// The original body is no longer needed: endpoints get the rewritten one.
--- a/server/job.go
+++ b/server/job.go
@@ -9,6 +9,7 @@
 
 	"pumiceshelf/bundle"
 	"pumiceshelf/claim"
+	"pumiceshelf/intake"
 	"pumiceshelf/quota"
 )
 
@@ -25,8 +26,8 @@
 	headers  controlHeaders
 	deadline time.Time
 	body     []byte
-	// heldBodyBytes is the request's share of Server.bodyBytes.
-	heldBodyBytes int64
+	// upload holds the memory of the body. It is nil without a body.
+	upload *intake.Upload
 	// chat is set for a model request, service for a call to a plain service.
 	chat    *chatRequest
 	service *bundle.Service
@@ -50,7 +51,7 @@
 
 // serve handles the request from authentication to the end of the response.
 func (j *job) serve() {
-	defer j.releaseBodyBytes()
+	defer j.releaseBody()
 	// A write deadline of an earlier request may still be set on the connection.
 	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Time{})
 	if f := j.parseRequest(); f != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -81,12 +81,17 @@
 	// lastArrivalUnixNano is the time of the most recent request.
 	lastArrivalUnixNano atomic.Int64
 	inProgress          atomic.Int64
-	// bodyBytes counts the body bytes of all requests in progress.
-	bodyBytes atomic.Int64
+	// bodies bounds the memory of the bodies of all requests in progress.
+	bodies *intake.Budget
 }
 
 // New returns a server that accepts requests immediately.
-func New(cfg Config) *Server { return &Server{cfg: cfg, metrics: newServerMetrics(cfg.Metrics)} }
+func New(cfg Config) *Server {
+	return &Server{
+		cfg: cfg, metrics: newServerMetrics(cfg.Metrics),
+		bodies: intake.NewBudget(bodyBytesFactor*int64(cfg.Admission.QueueBytes), cfg.Clock.Now, cfg.Metrics),
+	}
+}
 
 // Handler returns the HTTP handler for callers' requests.
 func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.serve) }
