Let the settings of `pumiceshelf run` say how much memory the process may use

Cause: without a soft limit the Go runtime lets garbage grow with the heap. What holds the rest is not traced. Change: setting memoryMb, as `route` has it; the test tells the process its memory.

--- a/cmd/pumiceshelf/main.go
+++ b/cmd/pumiceshelf/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -66,6 +67,9 @@
 		return err
 	}
 	logger := newLogger(s.Log)
+	if s.MemoryMb > 0 {
+		debug.SetMemoryLimit(memoryLimit(float64(s.MemoryMb)))
+	}
 	n, err := node.New(node.Config{Settings: s, Log: logger, Seed: uint64(os.Getpid())})
 	if err != nil {
 		return err
--- a/cmd/pumiceshelf/route.go
+++ b/cmd/pumiceshelf/route.go
@@ -39,6 +39,9 @@
 	memoryLimitFraction = 0.6
 )
 
+// memoryLimit returns the soft limit of the Go runtime in bytes for a process that may use so many megabytes.
+func memoryLimit(megabytes float64) int64 { return int64(megabytes * memoryLimitFraction * (1 << 20)) }
+
 type routeCommand struct {
 	Settings string `long:"settings" env:"PUMICESHELF_CONFIG" required:"true" description:"file with the settings of the instance"`
 	Check    bool   `long:"check" description:"only check the settings"`
@@ -66,7 +69,7 @@
 		stopSink()
 		<-sinkDone
 	}()
-	debug.SetMemoryLimit(int64(s.MemoryMb * memoryLimitFraction * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMb))
 
 	clock := clockwork.NewRealClock()
 	dialer := gateway.NewDialer(gateway.MaxUnackedTime)
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -192,6 +192,7 @@
 	c.AdjustSettings = func(s *api.Settings) {
 		s.Server.BodyLimitBytes, s.Server.ReadTimeout = bodyLimit, durationpb.New(stallLimit)
 		s.Admission.QueueBytes = 4 * bodyLimit
+		s.MemoryMb = memoryMB
 	}
 	f, err := fleet.Start(ctx, c)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 		}
 		*b.listener = l
 	}
-	bounds, err := intake.NewBounds(0, 0)
+	bounds, err := intake.NewBounds(0, int64(s.MemoryMb)<<20)
 	if err != nil {
 		n.listeners.close()
 		return fmt.Errorf("node: %w", err)
--- a/settings/check.go
+++ b/settings/check.go
@@ -28,6 +28,8 @@
 	maxStoredResponseBytes = 256 << 10
 	// maxCount bounds settings that count things, such as queue entries or requests.
 	maxCount = 1 << 20
+	// minMemoryMB is the least memory of a process, in megabytes: an idle instance has about so much.
+	minMemoryMB = 32
 	// maxBytes bounds settings that are sizes in bytes.
 	maxBytes = 1 << 36
 )
@@ -205,6 +207,9 @@
 	c.requireRange("peer.heartbeatFanout", uint64(s.Peer.HeartbeatFanout), 1, maxCount)
 	c.requireRange("server.bodyLimitBytes", s.Server.BodyLimitBytes, 1, maxBytes)
 	c.requireRange("server.requestLimit", uint64(s.Server.RequestLimit), 1, maxCount)
+	if s.MemoryMb != 0 {
+		c.requireRange("memoryMb", uint64(s.MemoryMb), minMemoryMB, maxCount)
+	}
 	rate := s.Platform.CallsPerSecond
 	c.Require(rate > 0 && rate <= maxCount, "platform.callsPerSecond", rate, fmt.Sprintf("over 0, at most %d", maxCount))
 }
