Count a body as stalled unless 4 KiB arrive in 250 ms

Seen: an ordinary request refused for 60 s, 130 attempts, in 1 of 7 runs of TestStalledBodies/route/pieces. Cause: bodies whose last bytes come one at a time, every 200 ms, never counted as stalled and had more bytes than any newcomer. Change: progress is 4 KiB. TestStalledBodyGivesWay now also sends a single byte.

--- a/intake/body.go
+++ b/intake/body.go
@@ -13,9 +13,11 @@
 	// maxAheadBytes is how much memory a body may hold ahead of the bytes that have arrived. minChunkBytes is the first chunk of a body of
 	// unknown length; further ones double.
 	maxAheadBytes, minChunkBytes = 64 << 10, 4 << 10
-	// stallTime is the time without a byte after which a body gives way while memory is full. It covers one retransmission of a lost
+	// stallTime is the time without progress after which a body gives way while memory is full. It covers one retransmission of a lost
 	// packet on a link of a few milliseconds: the shortest time-out of TCP is 200 ms.
 	stallTime = 250 * time.Millisecond
+	// minProgressBytes must arrive within stallTime: 16 KiB/s, at which a body of the default limit of 4 MiB would take over four minutes.
+	minProgressBytes = 4 << 10
 )
 
 // Errors of ReadBody.
@@ -61,8 +63,10 @@
 
 	// The budget's mutex guards the following fields.
 	held, arrived int64
-	lastByteAt    time.Time
-	yielded       bool
+	// progressAt is when minProgressBytes more had arrived last, and recent are the bytes since then.
+	progressAt time.Time
+	recent     int64
+	yielded    bool
 	// yield is closed when the body must give way, released when its memory is free.
 	yield, released chan struct{}
 	isReleased      bool
@@ -70,7 +74,7 @@
 
 // begin begins to read a body. abort makes a read of it that is in progress return after a time, and must not block.
 func (b *Budget) begin(abort func(after time.Duration)) *Upload {
-	u := &Upload{budget: b, abort: abort, lastByteAt: b.now(), yield: make(chan struct{}), released: make(chan struct{})}
+	u := &Upload{budget: b, abort: abort, progressAt: b.now(), yield: make(chan struct{}), released: make(chan struct{})}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.uploads[u] = struct{}{}
@@ -179,7 +183,9 @@
 	u.budget.mu.Lock()
 	defer u.budget.mu.Unlock()
 	u.arrived += int64(n)
-	u.lastByteAt = now
+	if u.recent += int64(n); u.recent >= minProgressBytes {
+		u.progressAt, u.recent = now, 0
+	}
 	return !u.yielded
 }
 
@@ -229,7 +235,7 @@
 		return nil, nil
 	}
 	// A body that asks for memory has not stalled: its next bytes may be waiting.
-	u.lastByteAt = now
+	u.progressAt = now
 	if victim = b.leastLocked(u, now); victim == nil {
 		b.metrics.refused.Inc(1)
 		return nil, ErrFull
@@ -244,8 +250,8 @@
 	for u := range b.uploads {
 		switch {
 		case u == to || u.held == 0:
-		case now.Sub(u.lastByteAt) >= stallTime:
-			if stalled == nil || u.lastByteAt.Before(stalled.lastByteAt) {
+		case now.Sub(u.progressAt) >= stallTime:
+			if stalled == nil || u.progressAt.Before(stalled.progressAt) {
 				stalled = u
 			}
 		case u.arrived < to.arrived && (smallest == nil || u.arrived < smallest.arrived):
@@ -265,7 +271,7 @@
 	u.budget.metrics.yielded.Inc(1)
 	close(u.yield)
 	// A body that still arrives gives way at its next byte. The rest of it can then be read before the refusal.
-	u.abort(max(0, stallTime-now.Sub(u.lastByteAt)))
+	u.abort(max(0, stallTime-now.Sub(u.progressAt)))
 }
 
 // chunkPool holds chunks of maxAheadBytes.
--- a/intake/conns.go
+++ b/intake/conns.go
@@ -157,7 +157,7 @@
 	u.budget.mu.Lock()
 	defer u.budget.mu.Unlock()
 	_, arriving := u.budget.uploads[u]
-	return arriving && now.Sub(u.lastByteAt) >= stallTime
+	return arriving && now.Sub(u.progressAt) >= stallTime
 }
 
 func (l *Listener) logLocked() {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -27,6 +27,7 @@
 			_, err := stalled.read(reader, maxAheadBytes-1)
 			result <- err
 		}()
+		// It goes on one byte at a time, which is no progress.
 		_, err := io.WriteString(writer, strings.Repeat("a", 100))
 		So(err, ShouldBeNil)
 
@@ -34,6 +35,8 @@
 			_, err := b.begin(func(time.Duration) {}).read(strings.NewReader("other"), 5)
 			So(err, ShouldEqual, ErrFull)
 			clock.Advance(stallTime)
+			_, err = io.WriteString(writer, "a")
+			So(err, ShouldBeNil)
 			other := b.begin(func(time.Duration) {})
 			body, err := other.read(strings.NewReader("other"), 5)
 			So(err, ShouldBeNil)
