--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/endpoint"
 	"pumiceshelf/idempotency"
+	"pumiceshelf/intake"
 	"pumiceshelf/invariant"
 	"pumiceshelf/quota"
 	"pumiceshelf/trace"
@@ -80,12 +81,17 @@
 	// lastArrivalUnixNano is the time of the most recent request.
 	lastArrivalUnixNano atomic.Int64
 	inProgress          atomic.Int64
-	// bodyBytes counts the body bytes of all requests in progress.
-	bodyBytes atomic.Int64
+	// bodies bounds the memory of the bodies of all requests in progress.
+	bodies *intake.Budget
 }
 
 // New returns a server that accepts requests immediately.
-func New(cfg Config) *Server { return &Server{cfg: cfg, metrics: newServerMetrics(cfg.Metrics)} }
+func New(cfg Config) *Server {
+	return &Server{
+		cfg: cfg, metrics: newServerMetrics(cfg.Metrics),
+		bodies: intake.NewBudget(bodyBytesFactor*int64(cfg.Admission.QueueBytes), cfg.Clock.Now, cfg.Metrics),
+	}
+}
 
 // Handler returns the HTTP handler for callers' requests.
 func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.serve) }
@@ -93,13 +99,13 @@
 // HTTPServer returns an HTTP server for the handler, with limits for header size, read time and idle time.
 func (s *Server) HTTPServer() *http.Server {
 	read := s.cfg.Settings.ReadTimeout.AsDuration()
-	return &http.Server{
+	return intake.Protect(&http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: read,
 		ReadTimeout:       read,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	})
 }
 
 // InProgress returns the number of requests in progress.
