--- a/members/members.go
+++ b/members/members.go
@@ -92,6 +92,9 @@
 	AcceptReturn func(prepaid.Return) bool
 	// TakeBack makes tokens available again that could not be passed back.
 	TakeBack func(tokens map[string]int64)
+	// WitnessMarks and SealMarks serve the holders of leases that this instance witnesses, see package prepaid. They may be nil.
+	WitnessMarks func(holder, witness instance.Incarnation, marks map[string]int64) bool
+	SealMarks    func(holder, witness instance.Incarnation) (marks map[string]int64, known bool)
 	// Limits holds the endpoint limits that this instance exchanges with others.
 	Limits *endpointlimit.Limits
 	// AsksForCold is set if endpoints may be cold, so that an instance asks others for these when it starts.
@@ -361,6 +364,9 @@
 	if err := api.DRPCRegisterFleet(mux, m); err != nil {
 		return fmt.Errorf("members: register service: %w", err)
 	}
+	if err := api.DRPCRegisterWitness(mux, witnessServer{m}); err != nil {
+		return fmt.Errorf("members: register service of witnesses: %w", err)
+	}
 	return drpcserver.New(mux).Serve(ctx, l)
 }
 
--- a/members/roster.go
+++ b/members/roster.go
@@ -47,6 +47,8 @@
 	isRelay bool
 	// names are the names of all instances, this one included. It is nil if those of the others are not known.
 	names []string
+	// witnesses are the other instances in the order in which they witness this one's leases.
+	witnesses []instance.Incarnation
 	// listed is set once the instances have been listed.
 	listed bool
 	// settled is set from the listing on that also has the instances which started together with this one.
@@ -74,6 +76,7 @@
 		}
 	}
 	r.names = memberNames(r.others, self)
+	r.witnesses = witnessOrder(r.others, self)
 	if inDomain[self.Domain] >= minHolderDomainSize {
 		r.chooseRelays(self)
 	}
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"pumiceshelf/instance"
 	"pumiceshelf/invariant"
 	"pumiceshelf/ration"
 )
@@ -34,7 +35,8 @@
 
 // account holds this instance's lease of one customer's budget.
 //
-// Invariant: used <= limit, and limit never exceeds the lease in the ledger plus the borrowed tokens.
+// Invariant: used <= limit, and limit never exceeds the lease in the ledger plus the borrowed tokens. Nor does used exceed what
+// the witnesses of a binding have acknowledged, plus the borrowed tokens.
 type account struct {
 	mu sync.Mutex
 	// limit is the total number of tokens that this incarnation may spend: its lease plus borrowed.
@@ -79,6 +81,9 @@
 	// demandByRank is what requests asked for by rank, share the fraction of the customer's traffic for which this instance leases.
 	demandByRank ration.Demand
 	share        float64
+	// marks are those acknowledged by the witnesses of bindings, which are the sets of witnesses that bind this instance.
+	marks    map[instance.Incarnation]int64
+	bindings [][]instance.Incarnation
 	// borrowsRationed is set while a loan is requested for a request whose tokens are kept for others.
 	borrowsRationed atomic.Bool
 }
@@ -104,7 +109,7 @@
 	if a.waiters.Len() > 0 || !a.reserveLocked(needed) {
 		return 0, false
 	}
-	ahead := min(max(wanted-needed, 0), (a.limit-a.used)/aheadDivisor)
+	ahead := min(max(wanted-needed, 0), (a.limit-a.used)/aheadDivisor, a.authority()-a.used)
 	a.used += ahead
 	a.passedOn += needed + ahead
 	return needed + ahead, true
@@ -119,7 +124,7 @@
 
 // reserveLocked is reserve without regard to waiters. a.mu must be held.
 func (a *account) reserveLocked(tokens int64) bool {
-	if tokens < 0 || tokens > a.limit-a.used {
+	if tokens < 0 || tokens > a.authority()-a.used {
 		return false
 	}
 	a.used += tokens
@@ -132,7 +137,7 @@
 func (a *account) takeIdle(least int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	idle := min(a.lowest, a.limit-a.used)
+	idle := min(a.lowest, a.authority()-a.used)
 	if idle < least || a.waiters.Len() > 0 {
 		idle = 0
 	}
@@ -247,6 +252,22 @@
 func (a *account) lend(tokens, kept int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	lent := min(a.lendableLocked(tokens, kept), a.authority()-a.used)
+	a.used += lent
+	a.passedOn += lent
+	a.rateBaseline += lent
+	return lent
+}
+
+// lendable returns how many tokens lend would pass on if witnesses had acknowledged the use of the whole lease.
+func (a *account) lendable(tokens, kept int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lendableLocked(tokens, kept)
+}
+
+// lendableLocked is lendable. a.mu must be held.
+func (a *account) lendableLocked(tokens, kept int64) int64 {
 	if a.waiters.Len() > 0 {
 		return 0
 	}
@@ -254,12 +275,7 @@
 	if kept == 0 {
 		reserve = int64(a.ratePerSecond * lendReserve.Seconds())
 	}
-	lendable := a.limit - a.used - reserve
-	lent := min(tokens, max(lendable, 0)/2)
-	a.used += lent
-	a.passedOn += lent
-	a.rateBaseline += lent
-	return lent
+	return min(tokens, max(a.limit-a.used-reserve, 0)/2)
 }
 
 // allocationAhead returns how many tokens to request beyond those that a request needs: what is used within allocateAhead,
@@ -297,15 +313,19 @@
 }
 
 // refuseWaiters ends the waiters that the remaining budget does not cover as Exhausted. If the ledger is not available,
-// it ends all waiters as Unavailable.
+// it ends all waiters as Unavailable that wait for more than a mark.
 func (a *account) refuseWaiters(ledgerAvailable bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var next *list.Element
+	leased := a.limit - a.used
 	for e := a.waiters.Front(); e != nil; e = next {
 		next = e.Next()
 		w := e.Value.(*waiter)
+		leased -= w.tokens
 		switch {
+		case leased >= 0:
+			continue
 		case !ledgerAvailable:
 			w.done <- Unavailable
 		case w.tokens > a.limit-a.used+a.remaining:
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/instance"
 	"pumiceshelf/ration"
 )
 
@@ -39,6 +40,8 @@
 	// unresponsive holds, for each instance, the positions in its domain that it skips until a time.
 	unresponsive map[*Manager]map[int]time.Time
 	sequence     uint64
+	// witnesses are the instances that witness the leases of others, by incarnation. It is nil if leases are not witnessed.
+	witnesses map[instance.Incarnation]*Manager
 
 	spent                   int64
 	granted, refused, ticks int
@@ -50,12 +53,17 @@
 }
 
 func newTestFleet(seed uint64, prepaid int64, lossRate float64) *testFleet {
-	f := &testFleet{
+	f := newUnstartedFleet(seed, prepaid, lossRate)
+	f.restartAll()
+	return f
+}
+
+// newUnstartedFleet returns a fleet without instances.
+func newUnstartedFleet(seed uint64, prepaid int64, lossRate float64) *testFleet {
+	return &testFleet{
 		clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, seed)), store: &ledgerStore{}, prepaid: prepaid,
 		lossRate: lossRate, requestScale: 1, domains: make([][]*Manager, testDomains), unresponsive: make(map[*Manager]map[int]time.Time),
 	}
-	f.restartAll()
-	return f
 }
 
 // restartAll replaces all instances by new incarnations without an orderly stop.
@@ -85,6 +93,7 @@
 		return f.requestAllocation(domain, position, customer, rank, needed, wanted)
 	}
 	m.config.Return = func(tokens map[string]int64) bool { return f.passBack(domain, position, tokens) }
+	f.addWitness(m)
 	return m
 }
 
@@ -161,6 +170,7 @@
 func (f *testFleet) waitForLease(m *Manager, tokens int64) Outcome {
 	w, e := m.account("alwusta").addWaiter(tokens)
 	m.resizeLeases(context.Background())
+	m.raiseMarks(context.Background())
 	if m.account("alwusta").removeWaiter(e) {
 		return Unavailable
 	}
@@ -201,6 +211,7 @@
 		if f.ticks++; f.ticks%int(tickInterval/testTick) == 0 {
 			f.resizeAll()
 		}
+		f.raiseAllMarks()
 	}
 }
 
--- a/prepaid/ledger.go
+++ b/prepaid/ledger.go
@@ -4,14 +4,14 @@
 // to the others, which pass back what they do not need. An instance that is disconnected from the store borrows tokens
 // from other instances.
 //
-// When a lease ends, the ledger counts its spent tokens as closed and the rest is available again. It counts the whole
-// lease of an earlier incarnation as closed.
+// When a lease ends, the ledger counts its spent tokens as closed and the rest is available again. It counts the lease of an
+// earlier incarnation as closed up to what a witness says that it used at most, or the whole one if none does.
 //
 // Invariants: an update of the ledger raises a lease only if the closed tokens and all leases together stay within the
 // prepaid total. The tokens that an instance has reserved and spent never exceed its lease in the ledger
 // version that it last read or wrote, plus borrowed tokens. Tokens passed to another instance count as spent by the one
 // that passes them on. No invariant depends on a clock, so a paused instance may resume at any time. Tokens that a
-// crashed instance had leased and not spent stay parked, because their number is unknown.
+// crashed instance had leased and not spent stay parked as far as no witness knows their number.
 package prepaid
 
 import (
@@ -107,22 +107,30 @@
 	delete(a.Leases, string(holder))
 	delete(l.message.Unspent, string(holder))
 	a.Closed += spent
+	if !l.listsHolder(string(holder)) {
+		l.setWitnesses(holder, nil)
+	}
 }
 
-// closePredecessors closes the leases of earlier incarnations of an instance as if fully spent. It returns the number of
-// tokens closed by customer.
-func (l ledger) closePredecessors(holder instance.Incarnation) map[string]int64 {
-	closed := make(map[string]int64)
+// closePredecessors closes the leases of earlier incarnations of an instance: at what they can have used at most, by holder and customer, and
+// as if fully spent those of which this is not known. It returns the number of tokens closed by customer, and of those that were not spent.
+func (l ledger) closePredecessors(holder instance.Incarnation, used map[instance.Incarnation]map[string]int64) (closed map[string]int64, saved int64) {
+	closed = make(map[string]int64)
 	for customer, a := range l.message.Accounts {
 		for other, limit := range a.Leases {
 			earlier := instance.Incarnation(other)
 			if earlier != holder && earlier.Name() == holder.Name() {
-				l.closeLease(customer, earlier, limit)
-				closed[customer] += limit
+				spent := limit
+				if marks, known := used[earlier]; known {
+					spent = min(limit, marks[customer])
+				}
+				l.closeLease(customer, earlier, spent)
+				closed[customer] += spent
+				saved += limit - spent
 			}
 		}
 	}
-	return closed
+	return closed, saved
 }
 
 // ensureAccount returns the account of a customer and creates it if needed.
--- a/prepaid/loan.go
+++ b/prepaid/loan.go
@@ -34,7 +34,7 @@
 	if !m.transfers.begin(id, a, m.config.Clock.Now()) {
 		return 0
 	}
-	fromLease := a.lend(tokens, m.keptForUrgent(a))
+	fromLease := m.lendFromLease(ctx, a, tokens, m.keptForUrgent(a))
 	fromLedger := int64(0)
 	if fromLease < tokens && !m.storeUnavailable(m.config.Clock.Now()) {
 		fromLedger = m.acquireForLoan(ctx, a, tokens-fromLease)
@@ -93,7 +93,7 @@
 	if tokens, ok := a.reserveToPassOn(needed, wanted); ok {
 		return Allocation{Tokens: tokens}
 	}
-	if now := m.config.Clock.Now(); m.storeUnavailable(now) && (m.config.Borrow == nil || a.loanFailedRecently(now)) {
+	if now := m.config.Clock.Now(); m.storeUnavailable(now) && !a.covers(needed) && (m.config.Borrow == nil || a.loanFailedRecently(now)) {
 		return Allocation{StoreUnavailable: true}
 	}
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
@@ -116,8 +116,25 @@
 	if tokens <= 0 {
 		return 0
 	}
+	return m.awaitLoan(ctx, a, tokens, m.updateSignal)
+}
+
+// lendFromLease lends tokens of this instance's lease. If no witness has acknowledged their use yet, it waits for that up to lendTimeout.
+func (m *Manager) lendFromLease(ctx context.Context, a *account, tokens, kept int64) int64 {
+	if lendable := a.lendable(tokens, kept); lendable > a.acknowledged() {
+		if lent := m.awaitLoan(ctx, a, lendable, m.markSignal); lent > 0 {
+			return lent
+		}
+	}
+	return a.lend(tokens, kept)
+}
+
+// awaitLoan waits up to lendTimeout until the lease covers tokens for another instance, and returns how many it got: all or none. It sends
+// the signal to the goroutine that can bring them.
+func (m *Manager) awaitLoan(ctx context.Context, a *account, tokens int64, signal chan struct{}) int64 {
 	w, e := a.addWaiter(tokens)
-	notify(m.updateSignal)
+	notify(m.markSignal)
+	notify(signal)
 	outcome := Unavailable
 	select {
 	case outcome = <-w.done:
--- a/prepaid/manager.go
+++ b/prepaid/manager.go
@@ -107,6 +107,13 @@
 	// StoreEra returns the highest era of the store that this instance knows, and whether it knows one. It is nil if the store never
 	// comes back from a copy unnoticed by reads of the ledger.
 	StoreEra func() (era uint64, known bool)
+	// Witnesses returns other instances that may witness this one's leases, the preferred ones first. If it is nil, leases are not
+	// witnessed, and the functions below are not used.
+	Witnesses func() []instance.Incarnation
+	// RaiseMarks calls WitnessMarks of a witness for this instance.
+	RaiseMarks func(ctx context.Context, witness instance.Incarnation, marks map[string]int64) (bool, error)
+	// SealMarks calls SealMarks of a witness for an earlier incarnation of this instance.
+	SealMarks func(ctx context.Context, holder, witness instance.Incarnation) (marks map[string]int64, known bool, err error)
 	// ReportParked writes the use of leases with the ledger, to report parked tokens by cause.
 	ReportParked bool
 }
@@ -116,6 +123,7 @@
 	config       Config
 	updateSignal chan struct{}
 	borrowSignal chan struct{}
+	markSignal   chan struct{}
 	// storeFailedAt is when the store last failed or was slow, in Unix nanoseconds; zero if the last call succeeded.
 	storeFailedAt atomic.Int64
 	// outageBeganAt is when the store failed or was slow first since it last responded, in Unix nanoseconds; zero if it responds.
@@ -131,8 +139,18 @@
 	transfers transferLog
 	returns   returnLog
 
+	// witnessed are the marks of other instances, witnessing those of this one, and seals those of its earlier incarnations.
+	witnessed  witnessLog
+	witnessing witnessing
+	seals      seals
+	// holdsLeases is set while the ledger that was last read or written lists leases of this instance.
+	holdsLeases atomic.Bool
+
 	mu       sync.Mutex
 	accounts map[string]*account
+	// bindings are the sets of witnesses that bind this instance: the one that the ledger names and those that an update of unknown outcome
+	// may name.
+	bindings [][]instance.Incarnation
 
 	// The fields below are used only by the goroutine of Run, and by Close after Run has returned.
 	ledger  ledger
@@ -167,6 +185,10 @@
 	closing map[string]int64
 	// closingUnspent is how much of them was unspent at most, according to their holders. parkedReport is the report that is due.
 	closingUnspent int64
+	// closingSaved are the tokens of these leases that are not closed, as a witness says that they were not used. closingUnknown is how many
+	// holders had witnesses and none of them said so.
+	closingSaved   int64
+	closingUnknown int
 	parkedReport   parkedReport
 	ratesUpdatedAt time.Time
 	// outageLogged is set while the last logged state of the ledger is unavailable.
@@ -185,19 +207,23 @@
 	granted, exhausted, unavailable, unreachable, contended, rationed, rationFloor, updates, conflicts, parked, borrowed, lent, returned, unanswered, takenBack, restored, unconfirmed metrics.Counter
 	unspent                                                                                                                                                                            metrics.Gauge
 	parkedOne, parkedAll, parkedLost                                                                                                                                                   metrics.Counter
+	marksRaised, marksFailed, marksBound, marksSaved, marksUnknown                                                                                                                     metrics.Counter
+	witnessedHolders                                                                                                                                                                   metrics.Gauge
 }
 
 // NewManager returns a manager without leases. Run acquires them.
 func NewManager(c Config) *Manager {
 	r := c.Metrics
 	return &Manager{
-		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
+		config: c, updateSignal: make(chan struct{}, 1), borrowSignal: make(chan struct{}, 1), markSignal: make(chan struct{}, 1), accounts: make(map[string]*account), ledger: newLedger(),
 		granted: descGranted.Counter(r), exhausted: descExhausted.Counter(r), unavailable: descUnavailable.Counter(r), unreachable: descUnreachable.Counter(r), contended: descContended.Counter(r), rationed: descRationed.Counter(r), rationFloor: descRationFloor.Counter(r),
 		restored: descRestored.Counter(r), unconfirmed: descUnconfirmed.Counter(r),
 		updates: descUpdates.Counter(r), conflicts: descConflicts.Counter(r), parked: descParked.Counter(r),
 		borrowed: descBorrowed.Counter(r), lent: descLent.Counter(r), unanswered: descUnanswered.Counter(r),
 		returned: descReturned.Counter(r), takenBack: descTakenBack.Counter(r), unspent: descUnspent.Gauge(r),
 		parkedOne: descParkedOne.Counter(r), parkedAll: descParkedAll.Counter(r), parkedLost: descParkedLost.Counter(r),
+		marksRaised: descMarksRaised.Counter(r), marksFailed: descMarksFailed.Counter(r), marksBound: descMarksBound.Counter(r),
+		marksSaved: descMarksSaved.Counter(r), marksUnknown: descMarksUnknown.Counter(r), witnessedHolders: descWitnessed.Gauge(r),
 	}
 }
 
@@ -312,11 +338,15 @@
 	if available, fresh := a.reservable(now.Add(-maxExhaustedAge)); fresh && tokens > available {
 		return Exhausted
 	}
-	if m.storeUnavailable(now) && (m.config.Borrow == nil || a.loanFailedRecently(now)) {
+	covered := a.covers(tokens)
+	if m.storeUnavailable(now) && !covered && (m.config.Borrow == nil || a.loanFailedRecently(now)) {
 		return Unavailable
 	}
 	w, e := a.addWaiter(tokens)
-	notify(m.updateSignal)
+	notify(m.markSignal)
+	if !covered {
+		notify(m.updateSignal)
+	}
 	if m.storeUnavailable(now) {
 		notify(m.borrowSignal)
 	}
@@ -456,6 +486,9 @@
 	a := m.accounts[customer]
 	if a == nil {
 		a = &account{}
+		for _, witnesses := range m.bindings {
+			a.bind(witnesses, func(instance.Incarnation) int64 { return 0 })
+		}
 		m.accounts[customer] = a
 	}
 	return a
--- a/prepaid/update.go
+++ b/prepaid/update.go
@@ -42,7 +42,7 @@
 // canSkipUpdate reports whether this instance needs no update of the ledger: another one is the token holder of the
 // domain, no request waits, there is no surplus to release, and no update of unknown outcome is pending.
 func (m *Manager) canSkipUpdate() bool {
-	if m.actsAsTokenHolder() || !m.ledgerKnown || m.fencePending || m.restated || m.known != nil || m.newEra() {
+	if m.actsAsTokenHolder() || !m.ledgerKnown || m.fencePending || m.restated || m.known != nil || m.newEra() || m.needsWitnesses(m.ledger) || m.closesWitnessed() {
 		return false
 	}
 	for customer, a := range m.snapshotAccounts() {
@@ -103,7 +103,7 @@
 	next := m.ledger.clone()
 	next.message.Updates++
 	m.closing, m.settling = nil, nil
-	changed := m.fencePending || m.restated || m.known != nil
+	changed := m.fencePending || m.restated || m.known != nil || m.needsWitnesses(next)
 	if m.restated || next.listsHolder(string(m.config.Incarnation)) {
 		next.confirm(m.config.Incarnation)
 	}
@@ -111,12 +111,16 @@
 		changed = true
 	}
 	// A lease that its holder has not confirmed may be smaller than what was spent.
-	m.closesPredecessors = !m.predecessorsClosed && next.settled()
+	m.closesPredecessors = !m.predecessorsClosed && next.settled() && !m.awaitsSeals(next)
 	if m.closesPredecessors {
 		m.closingUnspent = next.predecessorsUnspent(m.config.Incarnation)
-		m.closing = next.closePredecessors(m.config.Incarnation)
-		// Closing changes what nobody can spend, so it waits for another reason to write unless this instance writes often.
-		changed = changed || len(m.closing) > 0 && m.actsAsTokenHolder()
+		m.closingUnknown = len(next.witnessedPredecessors(m.config.Incarnation))
+		used := m.usedByPredecessors(next)
+		m.closingUnknown -= len(used)
+		m.closing, m.closingSaved = next.closePredecessors(m.config.Incarnation, used)
+		m.closingUnspent = max(m.closingUnspent-m.closingSaved, 0)
+		// Closing at the whole size changes what nobody can spend, so it waits for another reason to write unless this instance writes often.
+		changed = changed || len(m.closing) > 0 && (m.closingSaved > 0 || m.actsAsTokenHolder())
 	}
 	fillThreshold := refillFraction
 	if !changed && m.config.Clock.Since(m.writtenAt) < minUpdateInterval && !m.needsResize(urgentFraction) {
@@ -135,6 +139,9 @@
 	if changed && m.config.ReportParked {
 		m.writeUnspent(next)
 	}
+	if changed {
+		m.planWitnesses(next)
+	}
 	return next, changed
 }
 
@@ -257,6 +264,7 @@
 	l = m.enterEra(l, era)
 	m.ledger, m.version, m.ledgerKnown, m.ledgerRead, m.readAt = l, version, true, true, m.config.Clock.Now()
 	m.fencePending = m.fencePending && version <= m.ambiguousVersion
+	m.holdsLeases.Store(l.listsHolder(string(m.config.Incarnation)))
 }
 
 // writeLedger replaces the ledger if it is still at the version that was read. An update without a response may still
@@ -274,12 +282,14 @@
 	switch {
 	case err == nil:
 		m.known = nil
+		before := m.ledger
 		m.setLedger(next, version, ledgerEra(objectstore.Era(version)))
 		m.predecessorsClosed, m.writtenAt = m.predecessorsClosed || m.closesPredecessors, m.readAt
 		m.updates.Inc(1)
 		m.recordSettled()
 		m.recordClosed()
 		m.updateAccounts()
+		m.recordWitnesses(before, next)
 	case errors.As(err, &conflict):
 		if applyErr := m.applyObject(conflict.Current); applyErr != nil {
 			m.ledgerKnown = false
@@ -300,6 +310,9 @@
 		m.config.Log.WithFields(log.Fields{"customer": customer, "tokens": tokens}).Info("prepaid: lease of an earlier incarnation closed")
 	}
 	if len(m.closing) > 0 {
+		m.marksSaved.Inc(m.closingSaved)
+		m.marksUnknown.Inc(int64(m.closingUnknown))
+		m.config.Log.WithFields(log.Fields{"saved": m.closingSaved, "without_mark": m.closingUnknown}).Info("prepaid: leases of earlier incarnations closed")
 		m.parkedReport = parkedReport{pending: m.config.ReportParked, closedAt: m.config.Clock.Now(), closed: sumOf(m.closing), unspent: m.closingUnspent}
 	}
 	m.closing = nil
--- a/router/router.go
+++ b/router/router.go
@@ -187,6 +187,12 @@
 		Abandon:      func(borrower instance.Incarnation, sequences []uint64) { r.prepaid.Abandon(borrower, sequences) },
 		AcceptReturn: func(back prepaid.Return) bool { return r.prepaid.AcceptReturn(back) },
 		TakeBack:     func(tokens map[string]int64) { r.prepaid.TakeBack(tokens) },
+		WitnessMarks: func(holder, witness instance.Incarnation, marks map[string]int64) bool {
+			return r.prepaid.WitnessMarks(holder, witness, marks)
+		},
+		SealMarks: func(holder, witness instance.Incarnation) (map[string]int64, bool) {
+			return r.prepaid.SealMarks(holder, witness)
+		},
 		CanConnect: func(ctx context.Context, id, address string) bool {
 			return r.canConnect(ctx, dials.endpoint, id, address)
 		},
@@ -207,6 +213,7 @@
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
 		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, IsFirstHolder: r.members.IsFirstHolder,
 		RequestAllocation: r.members.RequestAllocation, Return: r.members.ReturnTokens, TokenHolderCount: r.members.TokenHolderCount,
+		Witnesses: r.members.Witnesses, RaiseMarks: r.members.RaiseMarks, SealMarks: r.members.SealMarks,
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 		ReduceParked: c.Settings.GetReduceParkedTokens(), ReportParked: c.Settings.GetReportParkedTokens(),
 		Rations: r.sharesLoads, StoreEra: r.storeEra,
@@ -324,6 +331,7 @@
 	}
 	group.Go(func() error { return r.prepaid.Run(background) })
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
+	group.Go(func() error { return r.prepaid.RunWitnessing(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
 	group.Go(func() error { return r.members.RunReturning(background) })
