Give up what witnesses have not acknowledged when the store comes back from a copy

Cause: that an update succeeds shows that the lease was not closed, but not across eras: the closing may be among what the store lost.

Change: a holder restates no more than its witnesses have acknowledged, which is at most what its lease was closed at.

TestPausedHolderRestatesNoMoreThanItsMark fails without it.

--- a/prepaid/marks.go
+++ b/prepaid/marks.go
@@ -245,6 +245,14 @@
 	return a.limit > a.used && a.limit > a.borrowed
 }
 
+// giveUpUnacknowledged lowers the limit to what the witnesses have acknowledged, and returns the lease that is left.
+func (a *account) giveUpUnacknowledged() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit = min(a.limit, max(a.authority(), a.used))
+	return a.limit - a.borrowed
+}
+
 // boundWitnesses returns the witnesses of the sets that bind this instance.
 func (m *Manager) boundWitnesses() []instance.Incarnation {
 	m.mu.Lock()
--- a/prepaid/restore.go
+++ b/prepaid/restore.go
@@ -283,10 +283,11 @@
 	for customer, a := range m.snapshotAccounts() {
 		d := a.demand()
 		listed, has := l.message.Accounts[customer].GetLeases()[self]
-		own := d.limit - d.borrowed
-		if !has && own == 0 {
+		if !has && d.limit == d.borrowed {
 			continue
 		}
+		// A successor may have closed the lease at a mark, which the copy lacks. What is beyond may be leased by others since.
+		own := a.giveUpUnacknowledged()
 		if l.settled() && own > listed {
 			own = a.lowerLimit(listed + d.borrowed)
 		}
