Name other witnesses again while a lost set still binds the holder

An independent review showed a holder that uses nothing for a minute although the store is available: two of four witnesses end, the update that names others is executed, but its response is lost, and another instance updates the ledger. The ledger names the new witnesses, so no update was due, and the former set bound the holder for good.

Change: an update is due as long as another set than the named one binds the holder. TestHolderLeavesLostWitnessesAfterALostResponse fails without it.

--- a/prepaid/marks.go
+++ b/prepaid/marks.go
@@ -319,7 +319,19 @@
 
 // needsWitnesses reports whether the next update of the ledger is to name other witnesses of this instance.
 func (m *Manager) needsWitnesses(l ledger) bool {
-	return m.config.Witnesses != nil && l.listsHolder(string(m.config.Incarnation)) && m.needsOthers(l.witnesses(m.config.Incarnation))
+	if m.config.Witnesses == nil || !l.listsHolder(string(m.config.Incarnation)) {
+		return false
+	}
+	named := l.witnesses(m.config.Incarnation)
+	return m.needsOthers(named) || m.isBoundByOthers(named)
+}
+
+// isBoundByOthers reports whether other sets of witnesses than this one bind this instance: an update of unknown outcome named them, and
+// only one that is known to have succeeded ends that.
+func (m *Manager) isBoundByOthers(named []instance.Incarnation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.bindings, func(b []instance.Incarnation) bool { return !sameWitnesses(b, named) })
 }
 
 // planWitnesses names the witnesses of this instance in the next ledger. The instance is bound to them from then on.
--- a/prepaid/restated_marks_test.go
+++ b/prepaid/restated_marks_test.go
@@ -107,3 +107,52 @@
 	}
 	return spent
 }
+
+// Guards against a holder that stays bound by lost witnesses, which an update of unknown outcome has replaced.
+func TestHolderLeavesLostWitnessesAfterALostResponse(t *testing.T) {
+	prepaid := int64(1_000_000)
+	var managers []*Manager
+	listed := func(m *Manager) (out []instance.Incarnation) {
+		for _, o := range managers {
+			if o != m {
+				out = append(out, o.config.Incarnation)
+			}
+		}
+		return out
+	}
+	clock, store, f, ms := witnessedManagers(&prepaid, listed, "muscat-1", "muscat-2", "muscat-3", "muscat-4", "muscat-5")
+	managers = ms
+	ctx := context.Background()
+	holder, other := managers[0], managers[1]
+	for _, m := range managers {
+		m.config.IsTokenHolder = func() bool { return m == holder }
+	}
+	useUp(holder, 1_000)
+	holder.raiseMarks(ctx)
+	clock.Advance(time.Second)
+	holder.resizeLeases(ctx)
+	holder.raiseMarks(ctx)
+	w, _ := holder.account("alwusta").addWaiter(30_000)
+	for _, gone := range managers[3:] {
+		delete(f.witnesses, gone.config.Incarnation)
+	}
+	managers = managers[:3]
+	holder.raiseMarks(ctx)
+	store.failureMode = "lost"
+	holder.resizeLeases(ctx)
+	store.failureMode = ""
+	other.config.IsTokenHolder = func() bool { return true }
+	useUp(other, 1_000)
+	for range 600 {
+		holder.raiseMarks(ctx)
+		holder.updateRates()
+		holder.resizeLeases(ctx)
+		clock.Advance(100 * time.Millisecond)
+	}
+	select {
+	case <-w.done:
+	default:
+		t.Error("the request still waits after a minute, with the store available")
+	}
+}
+
