--- a/prepaid/restated_marks_test.go
+++ b/prepaid/restated_marks_test.go
@@ -155,4 +155,3 @@
 		t.Error("the request still waits after a minute, with the store available")
 	}
 }
-
--- a/router/listeners_test.go
+++ b/router/listeners_test.go
@@ -8,8 +8,10 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pumiceshelf/gateway"
 	"pumiceshelf/objectstore"
 	"pumiceshelf/placement"
 	"pumiceshelf/platform"
@@ -25,6 +27,7 @@
 			versions: registry.NewVersionHistory(), contact: &registry.Contact{}, chooser: placement.New(nil),
 		}
 		r.freezeGuard = newFreezeGuard(clock, func() {})
+		r.gateway = gateway.New(gateway.Config{Chooser: r.chooser, Clock: clock, Log: r.config.Log, Metrics: metrics.NewRegistry()})
 		set := registry.NewSet()
 		set.Put(registry.Endpoint{ID: "i-1", Service: "model", Address: "10.1.0.1:80", SoftwareVersion: "v1"})
 		r.versions.Update(clock.Now(), set)
