--- a/router/router.go
+++ b/router/router.go
@@ -216,7 +216,6 @@
 		Store: c.Store, Incarnation: incarnation, Clock: c.Clock, Log: c.Log, Metrics: c.Metrics,
 		Borrow: r.members.Borrow, IsTokenHolder: r.members.IsTokenHolder, IsFirstHolder: r.members.IsFirstHolder,
 		RequestAllocation: r.members.RequestAllocation, Return: r.members.ReturnTokens, TokenHolderCount: r.members.TokenHolderCount,
-		Witnesses: r.members.Witnesses, RaiseMarks: r.members.RaiseMarks, SealMarks: r.members.SealMarks,
 		PrepaidTotal: r.prepaidTotal, Customers: r.prepaidCustomers,
 		ReduceParked: c.Settings.GetReduceParkedTokens(), ReportParked: c.Settings.GetReportParkedTokens(),
 		Rations: r.sharesLoads, StoreEra: r.storeEra,
@@ -336,7 +335,6 @@
 	}
 	group.Go(func() error { return r.prepaid.Run(background) })
 	group.Go(func() error { return r.prepaid.RunBorrowing(background) })
-	group.Go(func() error { return r.prepaid.RunWitnessing(background) })
 	group.Go(func() error { return r.members.Run(background) })
 	group.Go(func() error { return r.members.RunAbandoning(background) })
 	group.Go(func() error { return r.members.RunReturning(background) })
