review: case 6, a shorter burst, so that no instance reads the ledger within it

Servers and instances listen at an address of their own, since a port was taken once between two uses.

--- a/review/standin-2/caseprepaid.go
+++ b/review/standin-2/caseprepaid.go
@@ -54,13 +54,13 @@
 	// Planned work, with the disruption and without it. The instance still takes requests for 2.5 s.
 	a.signal(syscall.SIGTERM)
 	var wait sync.WaitGroup
-	for i := range 15 {
+	for i := range 3 {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			f.generate(a, &s, fmt.Sprintf("burst%d", i), 8000, 40)
+			// The largest prompts on the site have 39,600 tokens.
+			f.generate(a, &s, fmt.Sprintf("burst%d", i), 39_000, 40)
 		}()
-		time.Sleep(60 * time.Millisecond)
 	}
 	wait.Wait()
 	f.rec.line("after the burst: %d tokens, ledger %s", s.tokens, f.store.get("pumiceshelf-prepaid/ledger"))
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -30,17 +30,25 @@
 	servers   []*server
 	program   string
 	dir       string
+	// moreEngines are the engines besides one in each zone.
+	moreEngines int
 	// ownPaths is set if the first instance has paths of its own to the servers.
 	ownPaths bool
 	// viewOfFirst is the store as the first instance sees it, or nil if it sees it as the others do.
 	viewOfFirst *view
 }
 
+// loopback is the address of the stand-ins and instances. Channels begin at 127.0.0.1, so that none takes a port here before it is used again.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f)
+}
+
 // freeAddresses returns free loopback addresses.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", loopback())
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -49,6 +49,11 @@
 			return err
 		}
 	}
+	for i := range f.moreEngines {
+		if err := f.addServer(&server{id: fmt.Sprintf("i-engine%d", len(zones)+i+1), service: "huvo11a", zone: zones[i%len(zones)], slots: 128, stride: 4, firstEvent: 20 * time.Millisecond, gap: 5 * time.Millisecond}); err != nil {
+			return err
+		}
+	}
 	f.store.set("config/main", configuration(7, prepaid))
 	f.beat()
 	if f.ownPaths {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -70,7 +70,7 @@
 }
 
 func newStore(log *record) (*store, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback())
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/view.go
+++ b/review/standin-2/view.go
@@ -20,7 +20,7 @@
 
 func newPath(target string) (*path, error) {
 	p := &path{target: target, conns: make(map[net.Conn]bool)}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback())
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +116,7 @@
 		}
 		v.paths = append(v.paths, p)
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback())
 	if err != nil {
 		return nil, err
 	}
