--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,12 +30,14 @@
 
 	mu      sync.Mutex
 	running int
+	// lost is the share of the answers that are lost.
+	lost float64
 	// ran are the ids of the requests that ran, in order.
 	ran map[string]int
 }
 
 func (f *fleet) addServer(s *server) error {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback())
 	if err != nil {
 		return err
 	}
@@ -78,6 +81,7 @@
 		return
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/report" {
+		s.loseAnswer("/report")
 		h.Set("Content-Type", "application/json")
 		_, _ = fmt.Fprintf(w, `{"stage":"both","born":%d,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"call_seq":1,"waiting":0,"running":0,"kv_used":0,"kv_total":500000,"handles":0}`, s.born)
 		return
@@ -109,9 +113,28 @@
 		return
 	}
 	s.run(id)
+	s.loseAnswer(id)
 	s.answer(w, r, id, body)
 }
 
+// setLost sets the share of the answers that are lost.
+func (s *server) setLost(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+}
+
+// loseAnswer ends the channel without an answer for the share of the requests whose answers are lost.
+func (s *server) loseAnswer(what string) {
+	s.mu.Lock()
+	loses := rand.Float64() < s.lost
+	s.mu.Unlock()
+	if loses {
+		s.rec.line("%s loses the answer to %s", s.id, what)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // run records that a request runs.
 func (s *server) run(id string) {
 	s.mu.Lock()
