--- a/review/standin-2/caseleaving.go
+++ b/review/standin-2/caseleaving.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -10,6 +11,12 @@
 
 func init() { cases["leaving"] = leaving }
 
+// workTime is the longest that the plain service works on a request on the site.
+const workTime = 110 * time.Millisecond
+
+// lastWords is how long after the first late request the leaving server ends: more than drain_ms after it began to leave.
+const lastWords = 60 * time.Millisecond
+
 // leaving: a server leaves while the store is down, and an instance that was partitioned from all servers has passed on its answers.
 func leaving(f *fleet, trouble bool) error {
 	f.ownPaths = true
@@ -28,7 +35,11 @@
 	passed := time.Time{}
 	sentAt := map[string]time.Time{}
 	var late []string
+	lost := map[string]answer{}
 	for _, s := range f.servers {
+		if s.service == "wuno96b" {
+			s.firstEvent = workTime
+		}
 		if s != gone {
 			continue
 		}
@@ -40,7 +51,12 @@
 			}
 			id := r.Header.Get("X-Request-Id")
 			if !passed.IsZero() && sentAt[id].Sub(passed) > 2*time.Second {
-				late = append(late, id)
+				if late = append(late, id); len(late) == 1 {
+					time.AfterFunc(lastWords, func() {
+						f.rec.line("%s ends", s.id)
+						s.close()
+					})
+				}
 				f.rec.line("late: %s reaches %s %d ms after the instance has passed on an answer with Server-Leaving", id, s.id, sentAt[id].Sub(passed).Milliseconds())
 			}
 			return false
@@ -59,12 +75,14 @@
 		f.rec.line("send %s to %s", c.id, in.name)
 		got := c.send(in)
 		f.rec.line("answer %s: %s by %q, Server-Leaving %q", c.id, got, got.header.Get("X-Server-Stamp"), got.header.Get("Server-Leaving"))
-		if got.header.Get("Server-Leaving") != "" && in == a {
-			mu.Lock()
-			if passed.IsZero() {
-				passed = time.Now()
-			}
-			mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		if got.header.Get("Server-Leaving") != "" && passed.IsZero() {
+			passed = time.Now()
+		}
+		if slices.Contains(late, c.id) && got.status != http.StatusOK {
+			lost[c.id] = got
+			f.rec.line("lost: %s", c.id)
 		}
 		return got
 	}
@@ -93,6 +111,10 @@
 	f.rec.line("%s leaves", gone.id)
 	if !trouble {
 		f.store.set("servers/"+gone.id, gone.entry("draining"))
+		time.AfterFunc(3*time.Second, func() {
+			f.rec.line("%s ends", gone.id)
+			gone.close()
+		})
 	}
 	spell(2700 * time.Millisecond)
 	if trouble {
@@ -103,17 +125,17 @@
 			}
 		}
 	}
-	spell(1700 * time.Millisecond)
+	spell(1000 * time.Millisecond)
 	if trouble {
-		f.store.set("servers/"+gone.id, gone.entry("draining"))
+		f.store.remove("servers/" + gone.id)
 		f.store.setMode(storeUp)
-		f.rec.line("the store is back, %s is listed as draining", gone.id)
+		f.rec.line("the store is back, %s is not listed", gone.id)
 	}
 	spell(2 * time.Second)
 	mu.Lock()
 	defer mu.Unlock()
 	if len(late) > 0 {
-		return broken{fmt.Sprintf("DRAIN: %d requests reached the leaving server too late: %s", len(late), strings.Join(late, " "))}
+		return broken{fmt.Sprintf("DRAIN: %d requests reached the leaving server too late, %d of them are lost: %s", len(late), len(lost), strings.Join(late, " "))}
 	}
 	return nil
 }
