responsecheck: a response is whole only if its connection ended in order

Callers saw: a server answered a 12 MB upload at once with a 200 without a length, sent a part of its body and reset or closed the connection while the upload was still being sent. They got the part as a complete response.

Cause: the kernel reports a reset to one call only. Here that is mostly the write of the upload; the read after it returns end of file, which ends a response without a length. Trace of one connection (us since the start, TCP state after the call):

21477 read 68 <nil> (1) 23414 write 3072 of 32768: connection reset by peer (7) 23476 read 0 EOF (7)

In 19 of 24 such traces the write got the reset, and the caller 200; in one of them the read returned before that write did. In the other five the read got it, and the caller 502.

Change: all HTTP clients read through responsecheck. A connection ends with io.EOF only if no write on it has failed; a write in progress is ended first, as it may have the reset already. A body that ends with its connection is whole only if, besides, the whole request was sent. All else is ErrIncomplete, which wraps io.ErrUnexpectedEOF, so readers treat it like any response that was cut off: unknown, charged, sent again only if it may run twice.

Why it works: while no write has failed, nobody but the read can have taken the report of the reset, so io.EOF comes from the server's own close.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"pumiceshelf/bundle"
 	"pumiceshelf/fieldcheck"
 	"pumiceshelf/objectstore"
+	"pumiceshelf/responsecheck"
 )
 
 // Exit codes.
@@ -60,7 +61,7 @@
 
 // Run runs the tool and returns its exit code. args excludes the program name.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	a := &app{ctx: ctx, stdout: stdout, stderr: stderr, client: &http.Client{}}
+	a := &app{ctx: ctx, stdout: stdout, stderr: stderr, client: responsecheck.Client(&http.Client{})}
 	parser := flags.NewNamedParser("pumicectl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = longDescription
 	if err := a.addCommands(parser); err != nil {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 
+	"pumiceshelf/responsecheck"
 	"pumiceshelf/telemetry"
 )
 
@@ -147,7 +147,7 @@
 }
 
 // discardConnections replaces the connections to an endpoint after one of them stalled.
-func (c *HTTPClient) discardConnections(url string, t *http.Transport) {
+func (c *HTTPClient) discardConnections(url string, t *responsecheck.Transport) {
 	if c.pool(url).replaceShared(t) {
 		c.counters.discarded.Inc(1)
 		c.recordRepair("connections to " + url + " discarded, one was silent")
--- a/endpoint/connpool.go
+++ b/endpoint/connpool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"pumiceshelf/responsecheck"
 )
 
 // Limits of the connections to one endpoint.
@@ -21,21 +23,20 @@
 // connPool holds the connections to one endpoint.
 type connPool struct {
 	dial   dialFunc
-	shared atomic.Pointer[http.Transport]
+	shared atomic.Pointer[responsecheck.Transport]
 	// singleUse opens a new connection for each request.
-	singleUse *http.Transport
+	singleUse *responsecheck.Transport
 }
 
 func newConnPool(dial dialFunc) *connPool {
 	l := &connPool{dial: dial}
-	l.singleUse = l.newTransport()
-	l.singleUse.DisableKeepAlives = true
-	l.shared.Store(l.newTransport())
+	l.singleUse = l.newTransport(true)
+	l.shared.Store(l.newTransport(false))
 	return l
 }
 
-func (l *connPool) newTransport() *http.Transport {
-	return &http.Transport{
+func (l *connPool) newTransport(singleUse bool) *responsecheck.Transport {
+	return responsecheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -45,17 +46,18 @@
 			}
 			return &writeCountingConn{Conn: conn}, nil
 		},
+		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleConnTimeout,
 		TLSHandshakeTimeout:    dialTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // replaceShared replaces the shared transport if it is still t. Requests in progress on t continue.
-func (l *connPool) replaceShared(t *http.Transport) bool {
-	if !l.shared.CompareAndSwap(t, l.newTransport()) {
+func (l *connPool) replaceShared(t *responsecheck.Transport) bool {
+	if !l.shared.CompareAndSwap(t, l.newTransport(false)) {
 		return false
 	}
 	t.CloseIdleConnections()
@@ -82,9 +84,12 @@
 
 // asWriteCountingConn returns the writeCountingConn that conn is or wraps, or nil.
 func asWriteCountingConn(conn net.Conn) *writeCountingConn {
-	if t, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = t.NetConn()
+	for {
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			c, _ := conn.(*writeCountingConn)
+			return c
+		}
+		conn = outer.NetConn()
 	}
-	c, _ := conn.(*writeCountingConn)
-	return c
 }
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"pumiceshelf/responsecheck"
 )
 
 // errNoProgress is the cause of a context that was canceled because its connection stalled.
@@ -17,7 +19,7 @@
 type exchange struct {
 	client     *HTTPClient
 	url        string
-	transport  *http.Transport
+	transport  *responsecheck.Transport
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 	stallTimer *stallTimer
--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"pumiceshelf/placement"
+	"pumiceshelf/responsecheck"
 )
 
 // answers reports whether a response is that to the request with an ID. Endpoints and instances repeat the ID in each response. One
@@ -26,7 +27,12 @@
 // attemptConn is the connection on which an attempt was sent. It is safe for concurrent use.
 type attemptConn struct{ conn atomic.Pointer[net.Conn] }
 
-func (c *attemptConn) set(conn net.Conn) { c.conn.Store(&conn) }
+func (c *attemptConn) set(conn net.Conn) {
+	if checked, ok := conn.(*responsecheck.Conn); ok {
+		conn = checked.NetConn()
+	}
+	c.conn.Store(&conn)
+}
 
 // get returns the connection, or nil if there is none yet.
 func (c *attemptConn) get() net.Conn {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"pumiceshelf/quarantine"
 	"pumiceshelf/reach"
 	"pumiceshelf/registry"
+	"pumiceshelf/responsecheck"
 	"pumiceshelf/retrybudget"
 	"pumiceshelf/routing"
 )
@@ -112,7 +113,7 @@
 type Gateway struct {
 	config Config
 	// transport sends requests to endpoints, singleTransport each on a connection of its own, and delegateTransport to other instances.
-	transport, singleTransport, delegateTransport *http.Transport
+	transport, singleTransport, delegateTransport *responsecheck.Transport
 	refusals                                      refusals
 	lasting                                       lastingConnections
 	processes                                     processChecks
@@ -150,15 +151,13 @@
 	if c.Quarantine == nil {
 		c.Quarantine = quarantine.New(quarantine.Config{})
 	}
-	g := &Gateway{config: c, delegateTransport: newTransport(c.DialInstance), metrics: newGatewayMetrics(c.Metrics)}
+	// The other instance may close a kept connection just as a request is sent, and then it is not known whether it ran.
+	g := &Gateway{config: c, delegateTransport: newTransport(c.DialInstance, true), metrics: newGatewayMetrics(c.Metrics)}
 	g.stopping, g.stop = context.WithCancel(context.Background())
 	g.processes.gateway, g.processes.byID = g, make(map[string]*processCheck)
 	g.restarts = &restartDetector{gateway: g, checked: make(map[string]bool)}
 	dial := watchConnections(c.Dial, g.restarts.connectionEnded, &g.lasting, c.Clock.Now)
-	g.transport, g.singleTransport = newTransport(dial), newTransport(dial)
-	g.singleTransport.DisableKeepAlives = true
-	// The other instance may close a kept connection just as a request is sent, and then it is not known whether it ran.
-	g.delegateTransport.DisableKeepAlives = true
+	g.transport, g.singleTransport = newTransport(dial, false), newTransport(dial, true)
 	g.buffered.max, g.buffered.now = c.MaxBufferedBytes, c.Clock.Now
 	g.bodies = intake.NewBudget(c.MaxBufferedBytes, c.Clock.Now, c.Metrics)
 	g.reach = reach.New(g.logReach)
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pumiceshelf/responsecheck"
 )
 
 const (
@@ -73,7 +75,7 @@
 
 // transportFor returns the transport for an attempt: one whose connections serve a single request if the endpoint has had the same
 // request before.
-func (j *job) transportFor(a *attempt) *http.Transport {
+func (j *job) transportFor(a *attempt) *responsecheck.Transport {
 	if a.repeats || j.gateway.refusals.contains(a.ticket.Endpoint.Address, j.meta.ID) {
 		return j.gateway.singleTransport
 	}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"pumiceshelf/responsecheck"
 )
 
 const (
@@ -114,9 +116,9 @@
 	}
 }
 
-// newTransport returns the transport for requests to endpoints.
-func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{
+// newTransport returns a transport for requests to endpoints or other instances. If singleUse is set, each has a connection of its own.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), singleUse bool) *responsecheck.Transport {
+	return responsecheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -124,9 +126,10 @@
 			}
 			return conn, nil
 		},
+		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
--- a/node/build.go
+++ b/node/build.go
@@ -21,6 +21,7 @@
 	"pumiceshelf/orders"
 	"pumiceshelf/peer"
 	"pumiceshelf/quota"
+	"pumiceshelf/responsecheck"
 	"pumiceshelf/route"
 	"pumiceshelf/server"
 	"pumiceshelf/telemetry"
@@ -260,7 +261,7 @@
 		Status:     n.Status,
 		Traces:     c.traces,
 		Budget:     n.customerLedger,
-		PeerTraces: admin.PeerTraces(c.fleet, &http.Client{Transport: &http.Transport{DialContext: n.config.Dial}, Timeout: peerTraceTimeout}),
+		PeerTraces: admin.PeerTraces(c.fleet, responsecheck.Client(&http.Client{Transport: &http.Transport{DialContext: n.config.Dial}, Timeout: peerTraceTimeout})),
 		Log:        n.config.Log,
 	})
 }
--- a/objectstore/http.go
+++ b/objectstore/http.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"pumiceshelf/api"
+	"pumiceshelf/responsecheck"
 )
 
 // Paths of the object API.
@@ -51,6 +52,7 @@
 // NewHTTPStore returns a client of the object API.
 func NewHTTPStore(c HTTPStoreConfig) *HTTPStore {
 	c.URL = strings.TrimSuffix(c.URL, "/")
+	c.Client = responsecheck.Client(c.Client)
 	return &HTTPStore{config: c}
 }
 
