responsecheck: keep the transport of a client

Cause: Client cloned the transport of the client that it got, so whoever closes the idle connections of that transport no longer closed those in use.

Change: Client sends requests on the given transport, which it changes.

--- a/responsecheck/transport.go
+++ b/responsecheck/transport.go
@@ -35,8 +35,8 @@
 	return &Transport{base: base}
 }
 
-// Client returns a client like c, with connections of its own, that checks responses. It cannot check the connections of a transport other
-// than *http.Transport.
+// Client returns a client like c that checks responses. It sends requests on the connections of the same transport, which it changes, unless
+// that is the default one. It cannot check the connections of a transport other than *http.Transport.
 func Client(c *http.Client) *http.Client {
 	checked := *c
 	switch t := c.Transport.(type) {
@@ -44,7 +44,7 @@
 	case nil:
 		checked.Transport = NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 	case *http.Transport:
-		checked.Transport = NewTransport(t.Clone())
+		checked.Transport = NewTransport(t)
 	default:
 		checked.Transport = &Transport{base: t}
 	}
