responsecheck: a status below 200 is no response

Callers saw, on other systems: a server in trouble sent the status 000, which reached the client as a response.

Each reader had to judge them, and few did. The gateway did for the body of a first attempt, so that no caller of route got one. It still believed "not run" in such a response, and sent a request that may run once to a second endpoint; a standby attempt took the request over with it; that of another instance ended the caller's connection (panic: invalid WriteHeader code 0), as did that of a plain service with run; a write to the platform's store counted as one without effect.

Change: the shared transport returns ErrMalformed for such a head and closes its connection. The request may have run, whatever the head says. The checks in gateway/relay.go and endpoint/call.go are gone. The package endpoint logs why a response is unusable.

--- a/endpoint/call.go
+++ b/endpoint/call.go
@@ -51,10 +51,6 @@
 	if a.call.ModelCall && x.res.StatusCode != http.StatusOK {
 		return a.handleErrorStatus(x)
 	}
-	if x.res.StatusCode == http.StatusSwitchingProtocols {
-		// No call asks for another protocol.
-		return a.recoverResponse(ctx, ReasonMalformed)
-	}
 	if a.call.Stream {
 		return newStream(a, a.sink).run(ctx, x)
 	}
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -19,6 +19,8 @@
 type exchange struct {
 	client     *HTTPClient
 	url        string
+	path       string
+	requestID  string
 	transport  *responsecheck.Transport
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
@@ -61,7 +63,10 @@
 // newExchange returns an exchange that sends nothing yet. The caller must close it.
 func (c *HTTPClient) newExchange(ctx context.Context, r request) *exchange {
 	pool := c.pool(r.base)
-	x := &exchange{client: c, url: r.base, transport: pool.shared.Load(), resumable: r.resumable, overdue: make(chan struct{})}
+	x := &exchange{
+		client: c, url: r.base, path: r.path, requestID: r.header.Get(headerRequestID), transport: pool.shared.Load(),
+		resumable: r.resumable, overdue: make(chan struct{}),
+	}
 	if r.useNewConnection {
 		x.transport = pool.singleUse
 	}
@@ -149,8 +154,18 @@
 	}
 }
 
-// failureReason returns why the exchange failed. err is the error of sending or reading.
+// failureReason returns why the exchange failed, and logs an error that the connection or the response caused. err is that of sending or
+// reading.
 func (x *exchange) failureReason(err error) Reason {
+	reason := x.classify(err)
+	switch reason {
+	case ReasonMalformed, ReasonTruncated, ReasonReset:
+		x.client.cfg.Log.Infof("endpoint: no usable response of %s to %s of request %q: %v", x.url, x.path, x.requestID, err)
+	}
+	return reason
+}
+
+func (x *exchange) classify(err error) Reason {
 	cause := context.Cause(x.ctx)
 	var tooLong *http.MaxBytesError
 	switch {
@@ -163,7 +178,7 @@
 		return ReasonDeadline
 	case cause != nil:
 		return ReasonCallerCanceled
-	case errors.As(err, &tooLong):
+	case errors.As(err, &tooLong), errors.Is(err, responsecheck.ErrMalformed):
 		return ReasonMalformed
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return ReasonTruncated
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,11 +23,6 @@
 
 // relayBuffered reads the whole response and then passes it on.
 func (j *job) relayBuffered(a *attempt) *failure {
-	if a.resp.StatusCode < http.StatusOK {
-		// No request asks for another protocol: ForwardHeader drops Upgrade. Statuses below 100 are not valid.
-		j.logger().WithFields(log.Fields{"endpoint": a.ticket.Endpoint.ID, "status": a.resp.StatusCode}).Info("gateway: response status is not final")
-		return &failure{reason: reasonResponseTruncated, result: placement.InvalidResponse, mayHaveRun: true, sent: true}
-	}
 	body, taken, err := j.gateway.buffered.readAll(a.resp.Body, maxResponseBytes)
 	j.bufferedBytes += taken
 	if err != nil && errors.Is(context.Cause(a.ctx), errUnresponsive) {
--- a/responsecheck/transport.go
+++ b/responsecheck/transport.go
@@ -1,5 +1,5 @@
-// Package responsecheck sends HTTP requests, and fails for responses that net/http returns although they are not shown to be whole. All
-// responses that pumiceshelf reads come through it.
+// Package responsecheck sends HTTP requests, and fails for responses that net/http returns although they are malformed or not shown to be
+// whole. All responses that pumiceshelf reads come through it.
 package responsecheck
 
 import (
@@ -15,8 +15,9 @@
 // ErrIncomplete is returned by reads of a response that may have been cut off. It wraps io.ErrUnexpectedEOF.
 var ErrIncomplete = fmt.Errorf("responsecheck: response is not shown to be whole: %w", io.ErrUnexpectedEOF)
 
-// Transport is an http.RoundTripper that checks responses. The body of one with neither a length nor chunks, which ends with its connection,
-// ends with io.EOF only if the connection was closed in order after the whole request was sent, and otherwise with ErrIncomplete.
+// Transport is an http.RoundTripper that checks responses. It returns ErrMalformed for one whose head is malformed. The body of one with
+// neither a length nor chunks, which ends with its connection, ends with io.EOF only if the connection was closed in order after the whole
+// request was sent, and otherwise with ErrIncomplete.
 type Transport struct{ base http.RoundTripper }
 
 // NewTransport returns a Transport that sends requests on the connections of base, which it changes. Base must not be used otherwise.
@@ -59,8 +60,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if endsWithConnection(resp) {
-		resp.Body = &unframedBody{ReadCloser: resp.Body, ctx: req.Context(), sent: sent}
+	if err := checkHead(resp); err != nil {
+		// The transport keeps the connection for other requests if the response has no body.
+		sent.closeConn()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	if resp.Body != http.NoBody {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, ctx: req.Context(), resp: resp, sent: sent}
 	}
 	return resp, nil
 }
@@ -74,12 +81,13 @@
 
 // endsWithConnection reports whether only the end of its connection ends a response.
 func endsWithConnection(r *http.Response) bool {
-	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed
 }
 
 // sending is the sending of a request. The transport may try it on a second connection if nothing was sent on the first one.
 type sending struct {
-	mu sync.Mutex
+	mu   sync.Mutex
+	conn net.Conn
 	// begun is set once the head of the request is ready to be sent on the present connection.
 	begun bool
 	// done is closed when nothing more of the request will be sent. err is set before if that is not the whole request.
@@ -89,10 +97,10 @@
 
 func (s *sending) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.begun, s.done, s.err = false, make(chan struct{}), nil
+			s.conn, s.begun, s.done, s.err = info.Conn, false, make(chan struct{}), nil
 		},
 		WroteHeaders: func() {
 			s.mu.Lock()
@@ -114,6 +122,15 @@
 	}
 }
 
+// closeConn closes the connection of the request.
+func (s *sending) closeConn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
 // check returns ErrIncomplete unless the whole request was sent. It is called at the end of the connection, after which no write waits.
 func (s *sending) check(ctx context.Context) error {
 	s.mu.Lock()
@@ -135,26 +152,35 @@
 	return nil
 }
 
-// unframedBody is the body of a response that ends with its connection.
-type unframedBody struct {
+// checkedBody is the body of a response. It is checked at its end.
+type checkedBody struct {
 	io.ReadCloser
 	ctx  context.Context
+	resp *http.Response
 	sent *sending
-	// err is the result of the check at the end of the body.
+	// err is the result of the check.
 	err error
 }
 
 // Read implements io.Reader.
-func (b *unframedBody) Read(p []byte) (int, error) {
+func (b *checkedBody) Read(p []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		b.err = b.sent.check(b.ctx)
-		if b.err != nil {
-			err = b.err
-		}
+		b.err = b.checkEnd()
+		return n, b.err
 	}
 	return n, err
 }
+
+// checkEnd returns io.EOF if the response is whole.
+func (b *checkedBody) checkEnd() error {
+	if endsWithConnection(b.resp) {
+		if err := b.sent.check(b.ctx); err != nil {
+			return err
+		}
+	}
+	return io.EOF
+}
--- a/server/unframed_test.go
+++ b/server/unframed_test.go
@@ -70,6 +70,14 @@
 				So(got.header.Get("Content-Length"), ShouldNotEqual, "0")
 			})
 		}
+		for what, raw := range map[string]string{
+			"a status below 100": "HTTP/1.1 000 OK",
+		} {
+			Convey("a response with "+what+" is no response", func() {
+				r.respondRaw(raw, "\r\nthe body", false)
+				So(decodeProblem(r.send("POST", "/plans/7", "x")).Outcome, ShouldEqual, outcomeUnknown)
+			})
+		}
 		Convey("a response that switches protocols is no response", func() {
 			r.respondRaw("HTTP/1.1 101 Switching Protocols", "Connection: upgrade\r\nUpgrade: x\r\n\r\nbytes", false)
 			So(decodeProblem(r.send("POST", "/plans/7", "x")).Outcome, ShouldEqual, outcomeUnknown)
