--- a/objectstore/http.go
+++ b/objectstore/http.go
@@ -36,7 +36,7 @@
 	URL string
 	// Name is the name of the instance. It is sent as the User-Agent so that the platform's operators can identify callers.
 	Name string
-	// Client sends the requests. Its transport configures dialing and TLS.
+	// Client sends the requests. Its transport configures dialing and TLS, and is changed, see responsecheck.Client.
 	Client *http.Client
 	// CallTimeout bounds every call except watches.
 	CallTimeout time.Duration
--- a/responsecheck/malformed.go
+++ b/responsecheck/malformed.go
@@ -23,13 +23,13 @@
 	return checkNames("header", r.Header)
 }
 
-// checkNames returns ErrMalformed if a name of a field is not a token: net/http accepts blanks, for which other recipients may take the field
-// for another one. Part says where the fields are.
+// checkNames returns ErrMalformed if a name of a field is not a token. net/http accepts blanks in names, which other recipients may drop and
+// then see another field. Part says where the fields are.
 func checkNames(part string, fields map[string][]string) error {
 	invalid, at := "", -1
 	for name, values := range fields {
 		// Names that only the field Trailer announces have no values.
-		if i := strings.IndexFunc(name, isNoTokenCharacter); i >= 0 && len(values) > 0 && (at < 0 || name < invalid) {
+		if i := strings.IndexFunc(name, isNotTokenCharacter); i >= 0 && len(values) > 0 && (at < 0 || name < invalid) {
 			invalid, at = name, i
 		}
 	}
@@ -39,8 +39,8 @@
 	return fmt.Errorf("%w: name of the %s field %.64q has the byte 0x%02x at index %d", ErrMalformed, part, invalid, invalid[at], at)
 }
 
-// isNoTokenCharacter reports whether names of fields must not contain a character. See RFC 9110, section 5.6.2.
-func isNoTokenCharacter(c rune) bool {
+// isNotTokenCharacter reports whether a character must not be in the name of a field. See RFC 9110, section 5.6.2.
+func isNotTokenCharacter(c rune) bool {
 	isAlphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
 	return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
 }
--- a/responsecheck/transport.go
+++ b/responsecheck/transport.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// check returns ErrIncomplete unless the whole request was sent. It is called at the end of the connection, after which no write waits.
+// check returns ErrIncomplete unless the whole request was sent. It is called once the connection has ended, so that writes no longer block.
 func (s *sending) check(ctx context.Context) error {
 	s.mu.Lock()
 	begun, done := s.begun, s.done
