--- a/endpoint/early_answers_test.go
+++ b/endpoint/early_answers_test.go
@@ -12,7 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Guards against a part of a response that counts as complete because the connection was reset during the upload (MIXED).
+// Guards against a part of a response that counts as complete because the connection was reset during the upload.
 func TestEarlyResponsesToUploads(t *testing.T) {
 	const uploadBytes, tries = 12 << 20, 6
 	call := func(early, reset bool) Result {
--- a/endpoint/malformed_test.go
+++ b/endpoint/malformed_test.go
@@ -15,12 +15,12 @@
 	"pumiceshelf/internal/rawhttp"
 )
 
-// Guards against a response whose status is none and that counts as complete (MIXED) or as a refusal (REFUSED, TWICE).
+// Guards against a response whose status is none and that counts as complete or as a refusal.
 func TestResponsesWithMalformedStatuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { checkMalformed(t, rawhttp.MalformedStatuses) })
 }
 
-// Guards against a response with an invalid name of a field that counts as complete (MIXED) or as a refusal (REFUSED, TWICE).
+// Guards against a response with an invalid name of a field that counts as complete or as a refusal.
 func TestResponsesWithMalformedFields(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { checkMalformed(t, rawhttp.MalformedFields) })
 }
@@ -68,7 +68,7 @@
 	}
 }
 
-// Guards against a response with an invalid name of a field in its trailer that counts as complete (MIXED).
+// Guards against a response with an invalid name of a field in its trailer that counts as complete.
 func TestResponsesWithMalformedTrailers(t *testing.T) {
 	synctest.Test(t, testResponsesWithMalformedTrailers)
 }
--- a/gateway/early_answers_test.go
+++ b/gateway/early_answers_test.go
@@ -75,7 +75,7 @@
 	return h.send("POST", path, strings.Repeat("x", uploadBytes), map[string]string{"X-Token-Counts": "100,80", "X-Deadline-Ms": "60000"})
 }
 
-// Guards against a part of a response that is passed on as the whole one because the connection was reset during the upload (MIXED).
+// Guards against a part of a response that is passed on as the whole one because the connection was reset during the upload.
 func TestEarlyResponsesToUploads(t *testing.T) {
 	const tries = 3
 	bodies := map[string]string{"events": eventsUpTo(3), "text": "a part of the body\n\n"}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -11,12 +11,12 @@
 	"pumiceshelf/internal/rawhttp"
 )
 
-// Guards against a response whose status is none, and that reaches the caller (MIXED) or tells what counts (REFUSED, TWICE).
+// Guards against a response whose status is none, and that reaches the caller, or whose "not run" is believed.
 func TestResponsesWithMalformedStatuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { checkMalformed(t, rawhttp.MalformedStatuses) })
 }
 
-// Guards against a response with an invalid name of a field, which reaches the caller, or whose body ends elsewhere than its server says (MIXED).
+// Guards against a response with an invalid name of a field, which reaches the caller, or whose body ends elsewhere than its server says.
 func TestResponsesWithMalformedFields(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { checkMalformed(t, rawhttp.MalformedFields) })
 }
@@ -96,7 +96,7 @@
 	})
 }
 
-// Guards against a response with an invalid name of a field in its trailer that looks whole (MIXED).
+// Guards against a response with an invalid name of a field in its trailer that looks whole.
 func TestResponsesWithMalformedTrailers(t *testing.T) {
 	synctest.Test(t, testResponsesWithMalformedTrailers)
 }
