--- a/review/standin-3/deadly.go
+++ b/review/standin-3/deadly.go
@@ -48,6 +48,28 @@
 // playDeadly sends requests with a part that crashes each server which begins to write an answer on it. The server has then written two events of 13;
 // with TROUBLE=one it has written one, with TROUBLE=early none.
 func playDeadly(r *record, trouble bool) verdict {
+	eventsBefore := 2
+	switch os.Getenv("TROUBLE") {
+	case "early":
+		eventsBefore = 0
+	case "one":
+		eventsBefore = 1
+	}
+	return playCrashingPart(r, trouble, eventsBefore, time.Second, 1)
+}
+
+// playPulses is playDeadly with several such requests at once, every few seconds. The servers crash before their first event. With TROUBLE=spread as
+// many requests come one after the other.
+func playPulses(r *record, trouble bool) verdict {
+	const pause, size = 4 * time.Second, 6
+	if os.Getenv("TROUBLE") == "spread" {
+		return playCrashingPart(r, trouble, 0, pause/size, 1)
+	}
+	return playCrashingPart(r, trouble, 0, pause, size)
+}
+
+// playCrashingPart sends so many requests with the part at a time, with a pause in between.
+func playCrashingPart(r *record, trouble bool, eventsBefore int, pause time.Duration, size int) verdict {
 	f, err := newFleet(r, 3, []string{"a", "b", "c"})
 	if err != nil {
 		r.line("%v", err)
@@ -56,13 +78,6 @@
 	defer f.stop()
 	var all runs
 	var crashed crashes
-	eventsBefore := 2
-	switch os.Getenv("TROUBLE") {
-	case "early":
-		eventsBefore = 0
-	case "one":
-		eventsBefore = 1
-	}
 	for n := range 9 {
 		s := &server{
 			id: fmt.Sprintf("i-%d", n+1), service: "model", zone: []string{"a", "b", "c"}[n%3], version: "1", slots: 128, events: eventsPerStream, stride: stride,
@@ -116,7 +131,29 @@
 	var mu sync.Mutex
 	deadly := make(map[string]bool)
 	var sound, soundWhole int
-	every := func(pause time.Duration, part func() string, isDeadly bool) {
+	send := func(to *instance, part string, isDeadly bool) {
+		path := "/chat/" + newID()
+		if isDeadly {
+			mu.Lock()
+			deadly[path] = true
+			mu.Unlock()
+		}
+		a := request{
+			to: to.caller, method: http.MethodPost, host: "chat.example", path: path, key: "key-of-the-shop", body: []byte(path),
+			tokens: fmt.Sprintf("%d,%d", promptTokens, outputTokens), prefix: fmt.Sprintf("%s:1000,bbbb%04d:1000,%s:890", part, rand.IntN(40), newID()[:8]),
+			deadline: 5 * time.Second,
+		}.send()
+		mu.Lock()
+		defer mu.Unlock()
+		if !isDeadly {
+			if sound++; a.status == http.StatusOK && a.err == nil && a.events == eventsPerStream {
+				soundWhole++
+				return
+			}
+		}
+		r.line("request %s (deadly part: %t) at %s: status %d, %d of %d events, %v", a.id, isDeadly, to.name, a.status, a.events, eventsPerStream, a.err)
+	}
+	every := func(pause time.Duration, size int, part func() string, isDeadly bool) {
 		calls.Go(func() {
 			ticker := time.NewTicker(pause)
 			defer ticker.Stop()
@@ -126,36 +163,16 @@
 					return
 				case <-ticker.C:
 				}
-				to := f.instances[rand.IntN(len(f.instances))]
-				calls.Go(func() {
-					path := "/chat/" + newID()
-					if isDeadly {
-						mu.Lock()
-						deadly[path] = true
-						mu.Unlock()
-					}
-					a := request{
-						to: to.caller, method: http.MethodPost, host: "chat.example", path: path, key: "key-of-the-shop", body: []byte(path),
-						tokens: fmt.Sprintf("%d,%d", promptTokens, outputTokens), prefix: fmt.Sprintf("aaaa000%d:1000,%s:1000,%s:890", rand.IntN(4), part(), newID()[:8]),
-						deadline: 5 * time.Second,
-					}.send()
-					mu.Lock()
-					defer mu.Unlock()
-					if !isDeadly {
-						if sound++; a.status == http.StatusOK && a.err == nil && a.events == eventsPerStream {
-							soundWhole++
-							return
-						}
-					}
-					r.line("request %s (deadly part: %t) at %s: status %d, %d of %d events, %v", a.id, isDeadly, to.name, a.status, a.events, eventsPerStream, a.err)
-				})
+				for range size {
+					calls.Go(func() { send(f.instances[rand.IntN(len(f.instances))], part(), isDeadly) })
+				}
 			}
 		})
 	}
-	every(100*time.Millisecond, func() string { return fmt.Sprintf("bbbb%04d", rand.IntN(40)) }, false)
+	every(100*time.Millisecond, 1, func() string { return fmt.Sprintf("aaaa000%d", rand.IntN(4)) }, false)
 	time.Sleep(4 * time.Second)
 	r.line("requests with the part %s begin", deadlyPart)
-	every(time.Second, func() string { return deadlyPart }, true)
+	every(pause, size, func() string { return deadlyPart }, true)
 	time.Sleep(24 * time.Second)
 	close(stop)
 	calls.Wait()
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -54,10 +54,22 @@
 			continue
 		}
 		l.Close()
-		return address
+		given.mu.Lock()
+		used := given.addresses[address]
+		given.addresses[address] = true
+		given.mu.Unlock()
+		if !used {
+			return address
+		}
 	}
 }
 
+// given are the addresses that freePort has returned.
+var given = struct {
+	mu        sync.Mutex
+	addresses map[string]bool
+}{addresses: make(map[string]bool)}
+
 // settings returns what the template deploy/settings.hujson gives for a small deployment.
 func (i *instance) settings() []byte {
 	text, err := json.Marshal(map[string]any{
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(r *record, trouble bool) verdict{
 	"leaving": playLeaving,
 	"deadly":  playDeadly,
+	"pulses":  playPulses,
 }
 
 func main() {
